--- /dev/null
+++ b/Makefile
@@ -0,0 +1,90 @@
+# make            builds build/bin/*
+# make check      installs what is missing, builds and runs all tests
+# make demo       both deployments on loopback, with a report
+# make bench      the measurements; make fuzz: a long fuzzing run
+# make lint fmt   linter and formatter checks; make install PREFIX=/usr/local
+
+CC = gcc
+CLANG = clang
+B ?= build
+PREFIX ?= /usr/local
+PKGS = apr-1 libpq libxxhash yaml-0.1 check libmicrohttpd
+OPT ?= -O2 -g
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-missing-field-initializers
+CFLAGS_ALL = -std=gnu11 $(WARN) $(OPT) -D_GNU_SOURCE -Iinclude -pthread \
+	$(shell pkg-config --cflags $(PKGS) 2>/dev/null) $(EXTRA_CFLAGS)
+LIBS = $(shell pkg-config --libs apr-1 libpq libxxhash yaml-0.1 libmicrohttpd 2>/dev/null) \
+	-lmsgpackc -lpg_query -pthread -lm $(EXTRA_LDFLAGS)
+CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
+
+LIBSRC = $(wildcard lib/*/*.c)
+LIBOBJ = $(LIBSRC:%.c=$(B)/%.o)
+LIBA = $(B)/libpimentopost.a
+PROGS = $(notdir $(patsubst %/,%,$(wildcard cmd/*/)))
+PROGS := $(foreach p,$(PROGS),$(if $(wildcard cmd/$(p)/*.c),$(p)))
+BINS = $(PROGS:%=$(B)/bin/%)
+TESTSRC = $(wildcard test/test_*.c)
+TESTS = $(TESTSRC:test/%.c=$(B)/test/%)
+BENCHSRC = $(wildcard bench/bench_*.c)
+BENCHES = $(BENCHSRC:bench/%.c=$(B)/bench/%)
+CSRC = $(wildcard lib/*/*.[ch] cmd/*/*.[ch] include/*.h test/*.[ch] bench/*.[ch])
+
+all: $(BINS) $(LIBA)
+
+deps:
+	@tools/deps
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
+
+$(LIBA): $(LIBOBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+define prog
+$(B)/bin/$(1): $(patsubst %.c,$(B)/%.o,$(wildcard cmd/$(1)/*.c)) $(LIBA)
+	@mkdir -p $$(@D)
+	$(CC) $(CFLAGS_ALL) -o $$@ $$^ $(LIBS)
+endef
+$(foreach p,$(PROGS),$(eval $(call prog,$(p))))
+
+# Files test/*.c that do not start with test_ are helpers for all tests.
+TESTAUX = $(filter-out $(TESTSRC) $(wildcard test/fuzz_*.c),$(wildcard test/*.c))
+$(B)/test/test_%: $(B)/test/test_%.o $(TESTAUX:%.c=$(B)/%.o) $(LIBA)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(CHECK_LIBS) $(LIBS)
+
+$(B)/bench/bench_%: $(B)/bench/bench_%.o $(LIBA)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
+
+tests: all $(TESTS)
+
+check: deps
+	@$(MAKE) --no-print-directory tests
+	@tools/runtests $(B)
+
+fmt:
+	clang-format --dry-run -Werror $(CSRC)
+
+format:
+	clang-format -i $(CSRC)
+
+lint:
+	@tools/lint $(CSRC)
+
+clean:
+	rm -rf $(B)
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib $(DESTDIR)$(PREFIX)/include/pimentopost
+	install -m 755 $(B)/bin/pimentopostd $(B)/bin/pimentopost $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(LIBA) $(DESTDIR)$(PREFIX)/lib
+	install -m 644 include/*.h $(DESTDIR)$(PREFIX)/include/pimentopost
+	for m in man/*.[1-8]; do \
+	  d=$(DESTDIR)$(PREFIX)/share/man/man$${m##*.}; install -d $$d; install -m 644 $$m $$d; done
+
+-include $(LIBOBJ:.o=.d) $(wildcard $(B)/cmd/*/*.d $(B)/test/*.d $(B)/bench/*.d)
+-include */rules.mk
+
+.PHONY: all deps tests check fmt format lint clean install demo bench fuzz
+.SECONDARY:
--- /dev/null
+++ b/include/events.h
@@ -0,0 +1,24 @@
+/* events - numbers of all log events.  Each library keeps its part of the
+   catalogue in lib/NAME/events.def as EV (number, level, name, meaning).  */
+
+#ifndef EVENTS_H
+#define EVENTS_H
+
+typedef enum
+{
+#define EV(num, level, name, meaning) EV_##name = (num),
+#include "../lib/base/events.def"
+#include "../lib/rpc/events.def"
+#include "../lib/conf/events.def"
+#include "../lib/raft/events.def"
+#include "../lib/control/events.def"
+#include "../lib/pgwire/events.def"
+#include "../lib/sql/events.def"
+#include "../lib/entry/events.def"
+#include "../cmd/ppdbsim/events.def"
+#include "../cmd/ppload/events.def"
+#include "../cmd/pimentopost/events.def"
+#undef EV
+} event_t;
+
+#endif
--- /dev/null
+++ b/lib/rpc/codec.c
@@ -0,0 +1,415 @@
+#include "rpc.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+typedef enum
+{
+  F_INT,
+  F_BOOL,
+  F_STR,
+  F_LIST
+} fkind_t;
+
+typedef struct table table_t;
+
+typedef struct
+{
+  fkind_t kind;
+  size_t off;
+  const table_t *sub;
+} field_t;
+
+struct table
+{
+  const char *name;
+  size_t size;
+  size_t n;
+  const field_t *f;
+};
+
+#define INT(t, m)                                                             \
+  {                                                                           \
+    F_INT, offsetof (t, m), NULL                                              \
+  }
+#define BOOL(t, m)                                                            \
+  {                                                                           \
+    F_BOOL, offsetof (t, m), NULL                                             \
+  }
+#define TEXT(t, m)                                                            \
+  {                                                                           \
+    F_STR, offsetof (t, m), NULL                                              \
+  }
+#define LIST(t, m, s)                                                         \
+  {                                                                           \
+    F_LIST, offsetof (t, m), &s##_table                                       \
+  }
+#define TABLE(s)                                                              \
+  static const table_t s##_table                                              \
+      = { #s, sizeof (s##_t), sizeof s##_fields / sizeof *s##_fields,         \
+          s##_fields }
+
+static const field_t vote_req_fields[]
+    = { INT (vote_req_t, term), INT (vote_req_t, from),
+        INT (vote_req_t, last_index), INT (vote_req_t, last_term),
+        BOOL (vote_req_t, pre) };
+TABLE (vote_req);
+
+static const field_t vote_resp_fields[]
+    = { INT (vote_resp_t, term), INT (vote_resp_t, from),
+        BOOL (vote_resp_t, pre), BOOL (vote_resp_t, granted) };
+TABLE (vote_resp);
+
+static const field_t log_entry_fields[]
+    = { INT (log_entry_t, term), INT (log_entry_t, index),
+        INT (log_entry_t, kind), TEXT (log_entry_t, data) };
+TABLE (log_entry);
+
+static const field_t append_req_fields[]
+    = { INT (append_req_t, term),
+        INT (append_req_t, from),
+        INT (append_req_t, prev_index),
+        INT (append_req_t, prev_term),
+        INT (append_req_t, commit),
+        INT (append_req_t, seq),
+        LIST (append_req_t, entries, log_entry) };
+TABLE (append_req);
+
+static const field_t append_resp_fields[]
+    = { INT (append_resp_t, term),  INT (append_resp_t, from),
+        INT (append_resp_t, seq),   BOOL (append_resp_t, ok),
+        INT (append_resp_t, match), INT (append_resp_t, hint) };
+TABLE (append_resp);
+
+static const field_t snap_req_fields[]
+    = { INT (snap_req_t, term),       INT (snap_req_t, from),
+        INT (snap_req_t, last_index), INT (snap_req_t, last_term),
+        INT (snap_req_t, offset),     INT (snap_req_t, total),
+        TEXT (snap_req_t, members),   TEXT (snap_req_t, data),
+        INT (snap_req_t, seq) };
+TABLE (snap_req);
+
+static const field_t snap_resp_fields[]
+    = { INT (snap_resp_t, term), INT (snap_resp_t, from),
+        INT (snap_resp_t, offset), BOOL (snap_resp_t, done),
+        INT (snap_resp_t, seq) };
+TABLE (snap_resp);
+
+static const field_t probe_fields[]
+    = { TEXT (probe_t, name),        TEXT (probe_t, address),
+        BOOL (probe_t, reachable),   INT (probe_t, ok_age),
+        INT (probe_t, term),         TEXT (probe_t, role),
+        INT (probe_t, position),     INT (probe_t, confirmed),
+        INT (probe_t, upstream_age), TEXT (probe_t, history) };
+TABLE (probe);
+
+static const field_t probe_report_fields[]
+    = { TEXT (probe_report_t, from), LIST (probe_report_t, probes, probe) };
+TABLE (probe_report);
+
+static const field_t announce_fields[]
+    = { TEXT (announce_t, group),   TEXT (announce_t, name),
+        TEXT (announce_t, address), TEXT (announce_t, zone),
+        INT (announce_t, term),     INT (announce_t, position),
+        BOOL (announce_t, leaving), INT (announce_t, age) };
+TABLE (announce);
+
+static const field_t use_fields[]
+    = { TEXT (use_t, name), INT (use_t, open), INT (use_t, want) };
+TABLE (use);
+
+static const field_t renew_fields[]
+    = { TEXT (renew_t, name),          TEXT (renew_t, zone),
+        INT (renew_t, boot),           INT (renew_t, seq),
+        INT (renew_t, sent),           INT (renew_t, cfg_term),
+        INT (renew_t, cfg_index),      BOOL (renew_t, stopping),
+        LIST (renew_t, probes, probe), LIST (renew_t, announces, announce),
+        LIST (renew_t, uses, use),     TEXT (renew_t, address) };
+TABLE (renew);
+
+static const field_t lease_fields[]
+    = { TEXT (lease_t, group),     INT (lease_t, term),
+        TEXT (lease_t, primary),   TEXT (lease_t, address),
+        INT (lease_t, ttl),        INT (lease_t, sample),
+        INT (lease_t, sample_age), TEXT (lease_t, history) };
+TABLE (lease);
+
+static const field_t db_info_fields[]
+    = { TEXT (db_info_t, group),   TEXT (db_info_t, name),
+        TEXT (db_info_t, address), TEXT (db_info_t, zone),
+        INT (db_info_t, state),    INT (db_info_t, term),
+        INT (db_info_t, position), INT (db_info_t, lag) };
+TABLE (db_info);
+
+static const field_t budget_fields[]
+    = { TEXT (budget_t, name), INT (budget_t, limit), INT (budget_t, ttl) };
+TABLE (budget);
+
+static const field_t grant_fields[] = { INT (grant_t, seq),
+                                        INT (grant_t, sent),
+                                        INT (grant_t, status),
+                                        INT (grant_t, raft_term),
+                                        TEXT (grant_t, leader),
+                                        INT (grant_t, cfg_term),
+                                        INT (grant_t, cfg_index),
+                                        INT (grant_t, cfg_version),
+                                        BOOL (grant_t, cfg_confirmed),
+                                        TEXT (grant_t, cfg),
+                                        LIST (grant_t, leases, lease),
+                                        LIST (grant_t, dbs, db_info),
+                                        LIST (grant_t, budgets, budget) };
+TABLE (grant);
+
+static const field_t submit_fields[]
+    = { TEXT (submit_t, id), TEXT (submit_t, operator_name),
+        INT (submit_t, base), TEXT (submit_t, text) };
+TABLE (submit);
+
+static const field_t submit_resp_fields[]
+    = { INT (submit_resp_t, status),    INT (submit_resp_t, version),
+        INT (submit_resp_t, raft_term), INT (submit_resp_t, index),
+        TEXT (submit_resp_t, by),       TEXT (submit_resp_t, leader),
+        TEXT (submit_resp_t, detail),   BOOL (submit_resp_t, repeated) };
+TABLE (submit_resp);
+
+static const field_t query_fields[]
+    = { TEXT (query_t, what), TEXT (query_t, arg), INT (query_t, since),
+        INT (query_t, limit), BOOL (query_t, json) };
+TABLE (query);
+
+static const field_t query_resp_fields[]
+    = { BOOL (query_resp_t, ok), TEXT (query_resp_t, text),
+        TEXT (query_resp_t, leader) };
+TABLE (query_resp);
+
+static const table_t *const tables[MSG_TYPES] = {
+  [MSG_VOTE_REQ] = &vote_req_table,
+  [MSG_VOTE_RESP] = &vote_resp_table,
+  [MSG_APPEND_REQ] = &append_req_table,
+  [MSG_APPEND_RESP] = &append_resp_table,
+  [MSG_SNAP_REQ] = &snap_req_table,
+  [MSG_SNAP_RESP] = &snap_resp_table,
+  [MSG_PROBE_REPORT] = &probe_report_table,
+  [MSG_RENEW] = &renew_table,
+  [MSG_GRANT] = &grant_table,
+  [MSG_SUBMIT] = &submit_table,
+  [MSG_SUBMIT_RESP] = &submit_resp_table,
+  [MSG_QUERY] = &query_table,
+  [MSG_QUERY_RESP] = &query_resp_table,
+};
+
+const char *
+rpc_name (msgtype_t type)
+{
+  return type > 0 && type < MSG_TYPES ? tables[type]->name : "unknown";
+}
+
+static int
+sink (void *out, const char *p, size_t n)
+{
+  buf_add (out, p, n);
+  return 0;
+}
+
+static void pack_fields (msgpack_packer *pk, const table_t *t,
+                         const char *base);
+
+static void
+pack_field (msgpack_packer *pk, const field_t *f, const char *base)
+{
+  const void *m = base + f->off;
+  const str_t *s = m;
+  const list_t *l = m;
+
+  switch (f->kind)
+    {
+    case F_INT:
+      msgpack_pack_int64 (pk, *(const int64_t *)m);
+      break;
+    case F_BOOL:
+      if (*(const bool *)m)
+        msgpack_pack_true (pk);
+      else
+        msgpack_pack_false (pk);
+      break;
+    case F_STR:
+      msgpack_pack_bin (pk, s->n);
+      msgpack_pack_bin_body (pk, s->p ? s->p : "", s->n);
+      break;
+    case F_LIST:
+      msgpack_pack_array (pk, l->n);
+      for (size_t i = 0; i < l->n; i++)
+        {
+          msgpack_pack_array (pk, f->sub->n);
+          pack_fields (pk, f->sub, (const char *)l->v + i * f->sub->size);
+        }
+      break;
+    }
+}
+
+static void
+pack_fields (msgpack_packer *pk, const table_t *t, const char *base)
+{
+  for (size_t i = 0; i < t->n; i++)
+    pack_field (pk, &t->f[i], base);
+}
+
+void
+rpc_pack (buf_t *out, msgtype_t type, const void *msg)
+{
+  const table_t *t = tables[type];
+  msgpack_packer pk;
+
+  msgpack_packer_init (&pk, out, sink);
+  msgpack_pack_array (&pk, t->n + 2);
+  msgpack_pack_int64 (&pk, type);
+  msgpack_pack_int64 (&pk, RPC_VERSION);
+  pack_fields (&pk, t, msg);
+}
+
+void
+rpc_encode (buf_t *out, msgtype_t type, const void *msg)
+{
+  uint32_t zero = 0;
+
+  buf_add (out, &zero, sizeof zero);
+  /* Offsets are kept relative to the unread part, since growing the buffer
+     may move it.  */
+  size_t body = buf_len (out);
+  rpc_pack (out, type, msg);
+  size_t n = buf_len (out) - body;
+  unsigned char *p = (unsigned char *)out->p + out->off + body - sizeof zero;
+  p[0] = (unsigned char)(n >> 24);
+  p[1] = (unsigned char)(n >> 16);
+  p[2] = (unsigned char)(n >> 8);
+  p[3] = (unsigned char)n;
+}
+
+int
+rpc_frame (const buf_t *in, str_t *body, err_t *e)
+{
+  const unsigned char *p = (const unsigned char *)in->p + in->off;
+
+  if (buf_len (in) < 4)
+    return 0;
+  size_t n
+      = (size_t)p[0] << 24 | (size_t)p[1] << 16 | (size_t)p[2] << 8 | p[3];
+  if (n > RPC_MAX_FRAME)
+    {
+      err_set (e, ERR_TOO_LARGE, "frame", "%zu bytes announced, at most %d", n,
+               RPC_MAX_FRAME);
+      return -1;
+    }
+  if (buf_len (in) < n + 4)
+    return 0;
+  *body = (str_t){ (char *)p + 4, n };
+  return 1;
+}
+
+static bool unpack_fields (apr_pool_t *pool, const table_t *t,
+                           const msgpack_object *o, size_t n, char *base,
+                           err_t *e);
+
+static bool
+unpack_list (apr_pool_t *pool, const table_t *t, const msgpack_object *o,
+             list_t *l, err_t *e)
+{
+  if (o->type != MSGPACK_OBJECT_ARRAY)
+    return err_set (e, ERR_PROTOCOL, t->name, "a list was expected");
+  l->n = o->via.array.size;
+  l->v = apr_pcalloc (pool, l->n * t->size + 1);
+  for (size_t i = 0; i < l->n; i++)
+    {
+      const msgpack_object *x = &o->via.array.ptr[i];
+      if (x->type != MSGPACK_OBJECT_ARRAY)
+        return err_set (e, ERR_PROTOCOL, t->name, "a record was expected");
+      if (!unpack_fields (pool, t, x->via.array.ptr, x->via.array.size,
+                          (char *)l->v + i * t->size, e))
+        return false;
+    }
+  return true;
+}
+
+static bool
+unpack_field (apr_pool_t *pool, const table_t *t, const field_t *f,
+              const msgpack_object *o, char *base, err_t *e)
+{
+  void *m = base + f->off;
+  bool num = o->type == MSGPACK_OBJECT_POSITIVE_INTEGER
+             || o->type == MSGPACK_OBJECT_NEGATIVE_INTEGER;
+
+  if (f->kind == F_LIST)
+    return unpack_list (pool, f->sub, o, m, e);
+  if (f->kind == F_INT && num)
+    *(int64_t *)m = o->via.i64;
+  else if (f->kind == F_BOOL && o->type == MSGPACK_OBJECT_BOOLEAN)
+    *(bool *)m = o->via.boolean;
+  else if (f->kind == F_STR && o->type == MSGPACK_OBJECT_BIN)
+    *(str_t *)m
+        = str_dup (pool, (str_t){ (char *)o->via.bin.ptr, o->via.bin.size });
+  else
+    return err_set (e, ERR_PROTOCOL, t->name, "a field has type %d",
+                    (int)o->type);
+  return true;
+}
+
+static bool
+unpack_fields (apr_pool_t *pool, const table_t *t, const msgpack_object *o,
+               size_t n, char *base, err_t *e)
+{
+  for (size_t i = 0; i < t->n && i < n; i++)
+    if (!unpack_field (pool, t, &t->f[i], &o[i], base, e))
+      return false;
+  return true;
+}
+
+static void *
+unpack_message (apr_pool_t *pool, const msgpack_object *o, msgtype_t *type,
+                err_t *e)
+{
+  const msgpack_object *v = o->via.array.ptr;
+
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size < 2
+      || v[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER
+      || v[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+    {
+      err_set (e, ERR_PROTOCOL, "frame", "no message header");
+      return NULL;
+    }
+  if (v[1].via.u64 != RPC_VERSION)
+    {
+      err_set (e, ERR_VERSION, "frame", "version %llu, this side has %d",
+               (unsigned long long)v[1].via.u64, RPC_VERSION);
+      return NULL;
+    }
+  if (v[0].via.u64 == 0 || v[0].via.u64 >= MSG_TYPES)
+    {
+      err_set (e, ERR_PROTOCOL, "frame", "message type %llu",
+               (unsigned long long)v[0].via.u64);
+      return NULL;
+    }
+  *type = (msgtype_t)v[0].via.u64;
+  const table_t *t = tables[*type];
+  char *msg = apr_pcalloc (pool, t->size);
+  if (!unpack_fields (pool, t, v + 2, o->via.array.size - 2, msg, e))
+    return NULL;
+  return msg;
+}
+
+void *
+rpc_decode (apr_pool_t *pool, str_t body, msgtype_t *type, err_t *e)
+{
+  msgpack_unpacked u;
+  size_t off = 0;
+  void *msg = NULL;
+
+  msgpack_unpacked_init (&u);
+  int rc = msgpack_unpack_next (&u, body.p, body.n, &off);
+  if (rc != MSGPACK_UNPACK_SUCCESS || off != body.n)
+    err_set (e, ERR_PROTOCOL, "frame", "not one msgpack value of %zu bytes",
+             body.n);
+  else
+    msg = unpack_message (pool, &u.data, type, e);
+  msgpack_unpacked_destroy (&u);
+  return msg;
+}
