--- a/include/base.h
+++ b/include/base.h
@@ -243,5 +243,8 @@
    restarts.  */
 bool sup_run (sup_t *s, err_t *e);
 void sup_stop (sup_t *s);
+/* sup_main: body of a daemon: runs S until SIGTERM or SIGINT, logs start and
+   end, returns the exit code.  Call it before any thread exists.  */
+int sup_main (sup_t *s);
 
 #endif
