--- a/include/rpc.h
+++ b/include/rpc.h
@@ -34,6 +34,12 @@
   MSG_SUBMIT_RESP,
   MSG_QUERY,
   MSG_QUERY_RESP,
+  MSG_HELLO,
+  MSG_HELLO_RESP,
+  MSG_MEMBERS,
+  MSG_RAFT_STATE, /* this and the next two only in files */
+  MSG_RAFT_RECORD,
+  MSG_RAFT_SNAP,
   MSG_TYPES
 } msgtype_t;
 
@@ -114,8 +120,63 @@
   int64_t offset; /* bytes taken so far */
   bool done;
   int64_t seq;
+  int64_t last_index; /* of the snapshot that this answers */
 } snap_resp_t;
 
+typedef struct
+{
+  int64_t id;
+  bool voter; /* false: learner */
+  str_t name; /* of the instance */
+  str_t address;
+} member_t;
+
+typedef struct
+{
+  list_t list; /* member_t */
+} members_t;
+
+/* First message on a connection between control instances.  An instance with
+   an empty data folder learns from the answers whether a log exists, and asks
+   the leader with it to become a member.  */
+typedef struct
+{
+  int64_t id;
+  str_t name;
+  str_t address;
+  bool join; /* wants to become a learner */
+} hello_t;
+
+typedef struct
+{
+  int64_t id;
+  str_t name;
+  bool has_log;
+  str_t leader; /* host:port, empty when unknown */
+} hello_resp_t;
+
+/* ---- files of the replicated log ---- */
+
+typedef struct
+{
+  int64_t id;
+  int64_t term;
+  int64_t vote;
+} raft_state_t;
+
+typedef struct
+{
+  list_t entries; /* log_entry_t */
+} raft_record_t;
+
+typedef struct
+{
+  int64_t index; /* of the last entry it covers */
+  int64_t term;
+  str_t members; /* members_t, packed */
+  str_t data;
+} raft_snap_t;
+
 /* ---- probes of databases ---- */
 
 typedef struct
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -90,11 +90,43 @@
 TABLE (snap_req);
 
 static const field_t snap_resp_fields[]
-    = { INT (snap_resp_t, term), INT (snap_resp_t, from),
+    = { INT (snap_resp_t, term),   INT (snap_resp_t, from),
         INT (snap_resp_t, offset), BOOL (snap_resp_t, done),
-        INT (snap_resp_t, seq) };
+        INT (snap_resp_t, seq),    INT (snap_resp_t, last_index) };
 TABLE (snap_resp);
 
+static const field_t member_fields[]
+    = { INT (member_t, id), BOOL (member_t, voter), TEXT (member_t, name),
+        TEXT (member_t, address) };
+TABLE (member);
+
+static const field_t members_fields[] = { LIST (members_t, list, member) };
+TABLE (members);
+
+static const field_t hello_fields[]
+    = { INT (hello_t, id), TEXT (hello_t, name), TEXT (hello_t, address),
+        BOOL (hello_t, join) };
+TABLE (hello);
+
+static const field_t hello_resp_fields[]
+    = { INT (hello_resp_t, id), TEXT (hello_resp_t, name),
+        BOOL (hello_resp_t, has_log), TEXT (hello_resp_t, leader) };
+TABLE (hello_resp);
+
+static const field_t raft_state_fields[]
+    = { INT (raft_state_t, id), INT (raft_state_t, term),
+        INT (raft_state_t, vote) };
+TABLE (raft_state);
+
+static const field_t raft_record_fields[]
+    = { LIST (raft_record_t, entries, log_entry) };
+TABLE (raft_record);
+
+static const field_t raft_snap_fields[]
+    = { INT (raft_snap_t, index), INT (raft_snap_t, term),
+        TEXT (raft_snap_t, members), TEXT (raft_snap_t, data) };
+TABLE (raft_snap);
+
 static const field_t probe_fields[]
     = { TEXT (probe_t, name),        TEXT (probe_t, address),
         BOOL (probe_t, reachable),   INT (probe_t, ok_age),
@@ -196,6 +228,12 @@
   [MSG_SUBMIT_RESP] = &submit_resp_table,
   [MSG_QUERY] = &query_table,
   [MSG_QUERY_RESP] = &query_resp_table,
+  [MSG_HELLO] = &hello_table,
+  [MSG_HELLO_RESP] = &hello_resp_table,
+  [MSG_MEMBERS] = &members_table,
+  [MSG_RAFT_STATE] = &raft_state_table,
+  [MSG_RAFT_RECORD] = &raft_record_table,
+  [MSG_RAFT_SNAP] = &raft_snap_table,
 };
 
 const char *
