Add the replicated log: decisions, store and simulated cluster

An instance with a lost disk takes the place of its old identity in two changes (old voter out, learner in), since exchanging both in one change lets quorums of the old and the new membership miss each other.

--- a/include/raft.h
+++ b/include/raft.h
@@ -15,6 +15,8 @@
 #include "base.h"
 #include "rpc.h"
 
+#include <apr_tables.h>
+
 enum
 {
   RAFT_HEARTBEAT = 50,          /* ms between rounds of heartbeats */
@@ -153,8 +155,8 @@
 /* Files of one folder.  Names have no slash.  */
 typedef struct
 {
-  /* Appends the names of all files to NAMES (str_t, in POOL).  */
-  bool (*list) (void *arg, apr_pool_t *pool, list_t *names, err_t *e);
+  /* Appends the names of all files to NAMES (char *, in its pool).  */
+  bool (*list) (void *arg, apr_array_header_t *names, err_t *e);
   bool (*read) (void *arg, const char *name, buf_t *out, err_t *e);
   /* Appends DATA, making the file when it is missing, and syncs the file when
      SYNC.  */
@@ -174,10 +176,11 @@
 bool store_files (apr_pool_t *pool, const char *path, const store_fs_t **fs,
                   void **arg, err_t *e);
 /* store_open: opens a store, or makes one with identity NEW_ID when the folder
-   is empty.  OUT is filled with what was saved.  A torn last record is cut
-   off; damage anywhere else is ERR_CORRUPT with file and offset.  */
-store_t *store_open (apr_pool_t *pool, const store_fs_t *fs, void *arg,
-                     int64_t new_id, raft_saved_t *out, err_t *e);
+   is empty.  OUT is filled with what was saved, in the pool TMP.  A torn last
+   record is cut off; damage anywhere else is ERR_CORRUPT with file and
+   offset.  */
+store_t *store_open (apr_pool_t *pool, apr_pool_t *tmp, const store_fs_t *fs,
+                     void *arg, int64_t new_id, raft_saved_t *out, err_t *e);
 /* These have the contract of raft_ops_t.  */
 bool store_vote (store_t *s, int64_t term, int64_t vote, err_t *e);
 bool store_entries (store_t *s, const log_entry_t *v, size_t n, err_t *e);
--- /dev/null
+++ b/lib/raft/local.h
@@ -0,0 +1,147 @@
+/* Internals of the decision module, shared by the files of lib/raft.  */
+
+#ifndef RAFT_LOCAL_H
+#define RAFT_LOCAL_H
+
+#include "raft.h"
+
+enum
+{
+  PEERS_MAX = 16,
+  WINDOW = 512,      /* entries sent ahead of the last answer */
+  CHUNK_RETRY = 200, /* ms until a snapshot chunk is sent again */
+  DEFAULT_COMPACT = 1024,
+  DEFAULT_TRAIL = 256
+};
+
+/* A snapshot that a transfer under way keeps alive after a newer one.  */
+typedef struct
+{
+  int refs;
+  raft_snap_t s;
+} snap_t;
+
+/* What the leader knows of another member, and the candidate of its vote.  */
+typedef struct
+{
+  int64_t id;
+  int64_t next;  /* first entry to send */
+  int64_t match; /* last entry known to be stored there */
+  msec_t acked;  /* when the last answered message was sent, or -1 */
+  bool probing;  /* NEXT is a guess: send no entries before an answer */
+  bool granted;
+  snap_t *snap; /* transfer under way */
+  int64_t off;
+  msec_t chunk_at;
+} peer_t;
+
+struct raft
+{
+  apr_pool_t *pool;
+  raft_conf_t conf;
+  const raft_ops_t *ops;
+  void *arg;
+  rng_t *rng;
+  msec_t now;
+  bool stopped;
+  err_t err;
+
+  int64_t id;
+  int64_t term;
+  int64_t vote;
+  raft_role_t role;
+  bool pre; /* candidate that asks for pre-votes */
+  int64_t leader;
+  msec_t heard;    /* last message of the leader */
+  msec_t deadline; /* of the election timeout */
+  msec_t beat;     /* last round of heartbeats */
+  int64_t first;   /* leader: index of its own first entry */
+  msec_t led_at;   /* leader: time of its election */
+
+  /* Entries BASE+1 .. BASE+N; BASE is at most the snapshot's index.  */
+  log_entry_t *log;
+  size_t n;
+  size_t cap;
+  int64_t base;
+  int64_t base_term;
+  int64_t commit;
+  int64_t applied;
+  bool applying;
+  snap_t *snap;
+
+  apr_pool_t *mpool;
+  members_t *members;
+  int64_t members_index;
+  peer_t peer[PEERS_MAX];
+  int npeer;
+
+  /* Snapshot being received.  */
+  buf_t in;
+  int64_t in_from;
+  int64_t in_leads; /* raft term of that leader */
+  int64_t in_index;
+  int64_t in_term;
+  int64_t in_total;
+};
+
+/* log.c */
+int64_t log_last (const raft_t *r);
+/* log_term: term of entry I, -1 when it is not held.  */
+int64_t log_term (const raft_t *r, int64_t i);
+log_entry_t *log_at (raft_t *r, int64_t i);
+/* log_put: copies V behind the last entry.  */
+void log_put (raft_t *r, const log_entry_t *v);
+/* log_cut: drops entries from FROM on.  */
+void log_cut (raft_t *r, int64_t from);
+/* log_drop: forgets entries up to and including UPTO.  */
+void log_drop (raft_t *r, int64_t upto);
+/* log_reset: empty log behind entry INDEX of TERM.  */
+void log_reset (raft_t *r, int64_t index, int64_t term);
+/* log_append: stores and holds entries that follow the log, replacing those
+   that conflict; takes over a membership among them.  */
+bool log_append (raft_t *r, const log_entry_t *v, size_t n);
+
+/* raft.c */
+bool failed (raft_t *r);
+void reset_timeout (raft_t *r);
+/* last_quorum: leader: when a quorum last answered, at least its election.  */
+msec_t last_quorum (const raft_t *r);
+/* follow: becomes a follower in TERM, at least the present one.  */
+bool follow (raft_t *r, int64_t term);
+bool append_own (raft_t *r, int64_t kind, str_t data);
+void send_to (raft_t *r, int64_t to, msgtype_t type, const void *msg);
+
+/* vote.c */
+bool start_prevote (raft_t *r);
+bool recv_vote_req (raft_t *r, const vote_req_t *m);
+bool recv_vote_resp (raft_t *r, const vote_resp_t *m);
+
+/* append.c */
+/* replicate: what P needs next; a heartbeat sends something in any case.  */
+void replicate (raft_t *r, peer_t *p, bool heartbeat);
+void replicate_all (raft_t *r, bool heartbeat);
+bool recv_append_req (raft_t *r, const append_req_t *m);
+bool recv_append_resp (raft_t *r, const append_resp_t *m);
+/* advance: moves the leader's commit index, applies what is committed.  */
+bool advance (raft_t *r);
+bool apply_committed (raft_t *r);
+
+/* snap.c */
+bool compact (raft_t *r);
+bool hold_snapshot (raft_t *r, const raft_snap_t *s);
+void snap_drop (snap_t *s);
+void send_snapshot (raft_t *r, peer_t *p, bool heartbeat);
+bool recv_snap_req (raft_t *r, const snap_req_t *m);
+bool recv_snap_resp (raft_t *r, const snap_resp_t *m);
+
+/* member.c */
+peer_t *peer_of (raft_t *r, int64_t id);
+bool is_voter (const raft_t *r, int64_t id);
+int voters (const raft_t *r);
+int quorum (const raft_t *r);
+/* members_from_log: takes the membership over that is in force by the log.  */
+bool members_from_log (raft_t *r);
+bool members_set (raft_t *r, str_t packed, int64_t index);
+void review_members (raft_t *r);
+
+#endif
--- /dev/null
+++ b/lib/raft/member.c
@@ -0,0 +1,305 @@
+#include "local.h"
+
+#include <string.h>
+
+enum
+{
+  ANSWERS = 250 /* ms; an instance that answered within them is alive */
+};
+
+peer_t *
+peer_of (raft_t *r, int64_t id)
+{
+  for (int i = 0; i < r->npeer; i++)
+    if (r->peer[i].id == id)
+      return &r->peer[i];
+  return NULL;
+}
+
+static member_t *
+member_at (const raft_t *r, size_t i)
+{
+  return LIST_AT (r->members->list, member_t, i);
+}
+
+const member_t *
+raft_member (const raft_t *r, int64_t id)
+{
+  for (size_t i = 0; i < r->members->list.n; i++)
+    if (member_at (r, i)->id == id)
+      return member_at (r, i);
+  return NULL;
+}
+
+bool
+is_voter (const raft_t *r, int64_t id)
+{
+  const member_t *m = raft_member (r, id);
+
+  return m && m->voter;
+}
+
+int
+voters (const raft_t *r)
+{
+  int n = 0;
+
+  for (size_t i = 0; i < r->members->list.n; i++)
+    n += member_at (r, i)->voter;
+  return n;
+}
+
+int
+quorum (const raft_t *r)
+{
+  return voters (r) / 2 + 1;
+}
+
+/* Keeps what is known of peers that stay.  */
+static void
+sync_peers (raft_t *r)
+{
+  peer_t old[PEERS_MAX];
+  int n = r->npeer;
+
+  memcpy (old, r->peer, sizeof old);
+  r->npeer = 0;
+  for (size_t i = 0; i < r->members->list.n; i++)
+    {
+      int64_t id = member_at (r, i)->id;
+      peer_t p = { .id = id, .next = log_last (r) + 1, .acked = -1 };
+      p.probing = true;
+      if (id == r->id)
+        continue;
+      for (int j = 0; j < n; j++)
+        if (old[j].id == id)
+          {
+            p = old[j];
+            old[j].snap = NULL;
+          }
+      r->peer[r->npeer++] = p;
+    }
+  for (int j = 0; j < n; j++)
+    snap_drop (old[j].snap);
+}
+
+bool
+members_set (raft_t *r, str_t packed, int64_t index)
+{
+  apr_pool_t *pool;
+  members_t *m;
+  msgtype_t type = MSG_MEMBERS;
+
+  if (apr_pool_create (&pool, r->pool))
+    return err_set (&r->err, ERR_NOMEM, "members", "no pool") || failed (r);
+  m = packed.n ? rpc_decode (pool, packed, &type, &r->err)
+               : apr_pcalloc (pool, sizeof *m);
+  if (m == NULL || type != MSG_MEMBERS || m->list.n > PEERS_MAX)
+    {
+      apr_pool_destroy (pool);
+      return err_set (&r->err, ERR_CORRUPT, "members",
+                      "no membership in entry %lld", (long long)index)
+             || failed (r);
+    }
+  if (r->mpool)
+    apr_pool_destroy (r->mpool);
+  r->mpool = pool;
+  r->members = m;
+  r->members_index = index;
+  sync_peers (r);
+  return true;
+}
+
+bool
+members_from_log (raft_t *r)
+{
+  for (int64_t i = log_last (r); i > r->base; i--)
+    if (log_at (r, i)->kind == ENTRY_MEMBERS)
+      return members_set (r, log_at (r, i)->data, i);
+  if (r->snap)
+    return members_set (r, r->snap->s.members, r->snap->s.index);
+  return members_set (r, (str_t){ 0 }, 0);
+}
+
+/* Appends the membership of the N members at V.  */
+static bool
+change (raft_t *r, member_t *v, size_t n)
+{
+  members_t m = { .list = { v, n } };
+  buf_t b;
+
+  buf_init (&b);
+  rpc_pack (&b, MSG_MEMBERS, &m);
+  bool ok = append_own (r, ENTRY_MEMBERS, buf_str (&b));
+  buf_free (&b);
+  return ok;
+}
+
+/* Writes the first entry of a deployment.  */
+static bool
+first_entry (raft_t *r, member_t *v, size_t n)
+{
+  members_t m = { .list = { v, n } };
+  log_entry_t x = { .term = r->term, .index = 1, .kind = ENTRY_MEMBERS };
+  buf_t b;
+
+  buf_init (&b);
+  rpc_pack (&b, MSG_MEMBERS, &m);
+  x.data = buf_str (&b);
+  bool ok = log_append (r, &x, 1);
+  buf_free (&b);
+  return ok;
+}
+
+/* One change at a time, and only after an entry of the own term is committed:
+   otherwise two leaders could each have a change under way that the other does
+   not know, with quorums that do not meet.  */
+static bool
+may_change (const raft_t *r)
+{
+  return r->role == RAFT_LEADER && r->commit >= r->members_index
+         && r->commit >= r->first;
+}
+
+static bool
+answers (raft_t *r, int64_t id)
+{
+  const peer_t *p = peer_of (r, id);
+
+  return id == r->id || (p && p->acked >= 0 && r->now - p->acked <= ANSWERS);
+}
+
+/* Copies the membership without the id WITHOUT to V.  */
+static size_t
+copy_members (const raft_t *r, int64_t without, member_t *v)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < r->members->list.n; i++)
+    if (member_at (r, i)->id != without)
+      v[n++] = *member_at (r, i);
+  return n;
+}
+
+static const member_t *
+by_name (const raft_t *r, str_t name, bool voter, int64_t not_id)
+{
+  for (size_t i = 0; i < r->members->list.n; i++)
+    {
+      const member_t *m = member_at (r, i);
+      if (str_eq (m->name, name) && m->voter == voter && m->id != not_id)
+        return m;
+    }
+  return NULL;
+}
+
+static bool
+add (raft_t *r, const member_t *m, err_t *e)
+{
+  member_t v[PEERS_MAX + 1];
+  const member_t *voter = by_name (r, m->name, true, m->id);
+  const member_t *learner = by_name (r, m->name, false, m->id);
+
+  if (raft_member (r, m->id))
+    return true;
+  if ((voter && answers (r, voter->id))
+      || (learner && answers (r, learner->id)))
+    return err_set (e, ERR_CONFLICT, "members",
+                    "'" STR_FMT "' still answers under another identity",
+                    STR_ARG (m->name));
+  size_t n = copy_members (r, learner ? learner->id : 0, v);
+  if (n == PEERS_MAX)
+    return err_set (e, ERR_FULL, "members", "%d members", PEERS_MAX);
+  v[n] = *m;
+  v[n++].voter = false;
+  return change (r, v, n);
+}
+
+bool
+raft_members (raft_t *r, member_op_t op, const member_t *m, msec_t now,
+              err_t *e)
+{
+  member_t v[PEERS_MAX + 1];
+
+  if (now > r->now)
+    r->now = now;
+  if (r->stopped || r->role != RAFT_LEADER)
+    return err_set (e, ERR_NOT_LEADER, "members",
+                    "this instance does not lead");
+  if (!may_change (r))
+    return err_set (e, ERR_FULL, "members", "another change is under way");
+  if (op == MEMBER_ADD)
+    return add (r, m, e);
+  if (raft_member (r, m->id) == NULL)
+    return true;
+  if (is_voter (r, m->id) && voters (r) == 1)
+    return err_set (e, ERR_STATE, "members", "the last voter has to stay");
+  return change (r, v, copy_members (r, m->id, v));
+}
+
+/* Makes the learner M a voter.  */
+static void
+promote (raft_t *r, const member_t *m)
+{
+  member_t v[PEERS_MAX + 1];
+  size_t n = copy_members (r, 0, v);
+
+  for (size_t i = 0; i < n; i++)
+    if (v[i].id == m->id)
+      v[i].voter = true;
+  change (r, v, n);
+}
+
+/* A learner that has caught up takes the place of the voter of its name in two
+   changes, the old voter leaving first: each change then keeps quorums that
+   meet, and an instance that is lost anyway leaves no larger quorum behind. */
+void
+review_members (raft_t *r)
+{
+  member_t v[PEERS_MAX + 1];
+
+  if (!may_change (r))
+    return;
+  for (size_t i = 0; i < r->members->list.n; i++)
+    {
+      const member_t *m = member_at (r, i);
+      const peer_t *p = peer_of (r, m->id);
+      const member_t *old = by_name (r, m->name, true, m->id);
+      if (m->voter || p == NULL || p->match < r->commit || !answers (r, m->id)
+          || (old && answers (r, old->id)))
+        continue;
+      if (old == NULL)
+        promote (r, m);
+      else
+        change (r, v, copy_members (r, old->id, v));
+      return;
+    }
+}
+
+bool
+raft_bootstrap (raft_t *r, const member_t *m, size_t n, msec_t now, err_t *e)
+{
+  member_t v[PEERS_MAX];
+
+  if (r->stopped || log_last (r) || r->snap || n == 0 || n > PEERS_MAX)
+    return err_set (e, ERR_STATE, "members",
+                    "a first membership needs an empty log");
+  if (now > r->now)
+    r->now = now;
+  for (size_t i = 0; i < n; i++)
+    {
+      v[i] = m[i];
+      v[i].voter = true;
+    }
+  /* A term drawn at random: should an instance lose its disk right after this
+     and begin again, its entry differs in term from the lost one.  */
+  if (!follow (r, r->term + 1 + (int64_t)rng_below (r->rng, 1000))
+      || !first_entry (r, v, n))
+    {
+      if (e)
+        *e = r->err;
+      return false;
+    }
+  r->deadline = r->now;
+  return true;
+}
--- /dev/null
+++ b/lib/raft/vote.c
@@ -0,0 +1,149 @@
+#include "local.h"
+
+static int
+granted (const raft_t *r)
+{
+  int n = is_voter (r, r->id);
+
+  for (int i = 0; i < r->npeer; i++)
+    n += r->peer[i].granted && is_voter (r, r->peer[i].id);
+  return n;
+}
+
+static void
+ask_votes (raft_t *r)
+{
+  vote_req_t m = { .term = r->pre ? r->term + 1 : r->term,
+                   .from = r->id,
+                   .last_index = log_last (r),
+                   .last_term = log_term (r, log_last (r)),
+                   .pre = r->pre };
+
+  for (int i = 0; i < r->npeer; i++)
+    {
+      r->peer[i].granted = false;
+      if (is_voter (r, r->peer[i].id))
+        send_to (r, r->peer[i].id, MSG_VOTE_REQ, &m);
+    }
+}
+
+/* The first entry of the own term lets entries of older terms be committed
+   behind it.  */
+static bool
+lead (raft_t *r)
+{
+  r->role = RAFT_LEADER;
+  r->leader = r->id;
+  r->beat = r->now;
+  r->first = log_last (r) + 1;
+  for (int i = 0; i < r->npeer; i++)
+    {
+      peer_t *p = &r->peer[i];
+      snap_drop (p->snap);
+      *p = (peer_t){ .id = p->id, .next = r->first, .acked = -1 };
+    }
+  r->led_at = r->now;
+  return append_own (r, ENTRY_NOOP, (str_t){ 0 });
+}
+
+static bool
+start_election (raft_t *r)
+{
+  r->pre = false;
+  r->term++;
+  r->vote = r->id;
+  r->leader = 0;
+  if (!r->ops->save_vote (r->arg, r->term, r->vote, &r->err))
+    return failed (r);
+  ask_votes (r);
+  return granted (r) < quorum (r) || lead (r);
+}
+
+bool
+start_prevote (raft_t *r)
+{
+  r->role = RAFT_CANDIDATE;
+  r->pre = true;
+  reset_timeout (r);
+  ask_votes (r);
+  return granted (r) < quorum (r) || start_election (r);
+}
+
+static bool
+log_up_to_date (const raft_t *r, const vote_req_t *m)
+{
+  int64_t term = log_term (r, log_last (r));
+
+  return m->last_term > term
+         || (m->last_term == term && m->last_index >= log_last (r));
+}
+
+/* A leader that was heard within the shortest election timeout is kept, so
+   that a member that cannot hear it does not depose it.  */
+static bool
+has_leader (const raft_t *r)
+{
+  if (r->role == RAFT_LEADER)
+    return r->now - last_quorum (r) < RAFT_ELECTION_MIN;
+  return r->leader && r->heard >= 0 && r->now - r->heard < RAFT_ELECTION_MIN;
+}
+
+static void
+answer (raft_t *r, const vote_req_t *m, bool grant)
+{
+  vote_resp_t a = { .term = grant ? m->term : r->term,
+                    .from = r->id,
+                    .pre = m->pre,
+                    .granted = grant };
+
+  send_to (r, m->from, MSG_VOTE_RESP, &a);
+}
+
+bool
+recv_vote_req (raft_t *r, const vote_req_t *m)
+{
+  if (has_leader (r) || m->term < r->term)
+    {
+      answer (r, m, false);
+      return true;
+    }
+  if (m->pre)
+    {
+      answer (r, m, m->term > r->term && log_up_to_date (r, m));
+      return true;
+    }
+  if (m->term > r->term && !follow (r, m->term))
+    return false;
+  bool grant = log_up_to_date (r, m) && r->leader == 0
+               && (r->vote == 0 || r->vote == m->from);
+#ifdef FAULT_VOTE_TWICE
+  grant = log_up_to_date (r, m);
+#endif
+  if (grant && r->vote != m->from)
+    {
+      r->vote = m->from;
+      if (!r->ops->save_vote (r->arg, r->term, r->vote, &r->err))
+        return failed (r);
+    }
+  if (grant)
+    reset_timeout (r);
+  answer (r, m, grant);
+  return true;
+}
+
+bool
+recv_vote_resp (raft_t *r, const vote_resp_t *m)
+{
+  if (!m->granted && m->term > r->term)
+    return follow (r, m->term);
+  if (r->role != RAFT_CANDIDATE || !m->granted || m->pre != r->pre
+      || m->term != (r->pre ? r->term + 1 : r->term))
+    return true;
+  peer_t *p = peer_of (r, m->from);
+  if (p == NULL)
+    return true;
+  p->granted = true;
+  if (granted (r) < quorum (r))
+    return true;
+  return r->pre ? start_election (r) : lead (r);
+}
