--- /dev/null
+++ b/lib/sql/cache.c
@@ -0,0 +1,122 @@
+#include "classify.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Entries stand in a hash table with WAYS places a set; the least recently
+   used of a set makes room.  That bounds the memory without a list.  */
+enum
+{
+  WAYS = 4
+};
+
+typedef struct
+{
+  char *text;
+  size_t len;
+  uint64_t hash;
+  uint64_t used;
+  sql_t sql; /* its strings are allocated behind TEXT */
+} slot_t;
+
+struct sql_cache
+{
+  apr_pool_t *scratch;
+  size_t sets;
+  uint64_t tick;
+  slot_t *slots;
+};
+
+static apr_status_t
+free_slots (void *arg)
+{
+  sql_cache_t *c = arg;
+
+  for (size_t i = 0; i < c->sets * WAYS; i++)
+    free (c->slots[i].text);
+  free (c->slots);
+  return APR_SUCCESS;
+}
+
+sql_cache_t *
+sql_cache_new (apr_pool_t *pool, size_t cap)
+{
+  sql_cache_t *c = apr_pcalloc (pool, sizeof *c);
+
+  c->sets = cap / WAYS ? cap / WAYS : 1;
+  c->slots = calloc (c->sets * WAYS, sizeof *c->slots);
+  if (c->slots == NULL)
+    abort ();
+  apr_pool_create (&c->scratch, pool);
+  apr_pool_cleanup_register (pool, c, free_slots, apr_pool_cleanup_null);
+  return c;
+}
+
+static slot_t *
+find (sql_cache_t *c, str_t text, uint64_t hash, slot_t **victim)
+{
+  slot_t *set = &c->slots[(hash % c->sets) * WAYS];
+
+  *victim = set;
+  for (int i = 0; i < WAYS; i++)
+    {
+      slot_t *s = &set[i];
+      if (s->text && s->hash == hash
+          && str_eq ((str_t){ s->text, s->len }, text))
+        return s;
+      if (s->used < (*victim)->used)
+        *victim = s;
+    }
+  return NULL;
+}
+
+static char *
+keep_str (char *to, str_t *s)
+{
+  if (s->n)
+    memcpy (to, s->p, s->n);
+  s->p = to;
+  return to + s->n;
+}
+
+static void
+store (slot_t *s, str_t text, uint64_t hash, const sql_t *sql)
+{
+  free (s->text);
+  s->text = malloc (text.n + sql->name.n + sql->value.n + 1);
+  if (s->text == NULL)
+    abort ();
+  memcpy (s->text, text.p, text.n);
+  s->len = text.n;
+  s->hash = hash;
+  s->sql = *sql;
+  char *next = keep_str (s->text + text.n, &s->sql.name);
+  keep_str (next, &s->sql.value);
+}
+
+void
+sql_classify (sql_cache_t *c, str_t text, sql_t *out)
+{
+  uint64_t hash = str_hash (text);
+  slot_t *victim;
+  slot_t *s = find (c, text, hash, &victim);
+
+  if (s == NULL)
+    {
+      apr_pool_clear (c->scratch);
+      str_t z = str_dup (c->scratch, text);
+      if (strlen (z.p) != z.n)
+        {
+          /* A NUL inside the text cannot be sent on as one statement.  */
+          *out = (sql_t){ .cls = SQL_INVALID };
+          return;
+        }
+      sql_parse (c->scratch, z.p, out);
+      if (text.n > SQL_CACHE_TEXT)
+        return;
+      store (victim, text, hash, out);
+      s = victim;
+    }
+  s->used = ++c->tick;
+  *out = s->sql;
+}
