Add the routing decisions of an entry instance

Cause: tokens, leases and the choice of a database must be decided without I/O so that they can be fuzzed. Measured: test_route, 19 checks pass.

--- /dev/null
+++ b/lib/route/pick.c
@@ -0,0 +1,134 @@
+#include "view.h"
+
+static bool
+usable (view_t *v, const ask_t *a, int i, msec_t now)
+{
+  const db_t *d = v->dbs[i];
+
+  return str_eq (d->group, a->group) && d->state == DB_ACTIVE
+         && now >= d->avoid && (i >= 32 || !(a->tried & 1u << i));
+}
+
+static route_t
+later (const ask_t *a, msec_t now)
+{
+  if (now >= a->deadline)
+    return (route_t){ .kind = ROUTE_NONE };
+  msec_t left = a->deadline - now;
+  return (route_t){ .kind = ROUTE_LATER,
+                    .wait = left < RETRY_LATER ? left : RETRY_LATER };
+}
+
+static route_t
+to_primary (view_t *v, const ask_t *a, msec_t now, route_kind_t kind)
+{
+  int64_t term;
+  db_t *d = view_primary (v, a->group, now, &term);
+
+  if (d == NULL || d->state == DB_EXPIRED || now < d->avoid)
+    return later (a, now);
+  return (route_t){ .kind = kind, .db = d, .term = term };
+}
+
+/* Expected ms until D has covered NEED, from its last known position and its
+   learned lag.  A guess for the choice only; the database proves it.  */
+static double
+expected_wait (const db_t *d, const group_t *g, token_t need, msec_t now)
+{
+  if (need.term == 0 || history_covers (&g->history, d->pos, need))
+    return 0;
+  if (d->term < need.term && g->history.n == 0)
+    return d->lag + WAIT_SHORT;
+  /* NEED was reached by the primary at some sample's time; the replica follows
+     by its lag.  */
+  msec_t when = now;
+  for (int i = g->nsamples - 1; i >= 0; i--)
+    if (g->samples[i].term == need.term && g->samples[i].pos >= need.pos)
+      when = g->samples[i].sent;
+  double left = (double)when + d->lag - (double)now;
+  return left > 0 ? left : 0;
+}
+
+static double
+cost (view_t *v, const db_t *d, const group_t *g, token_t need, msec_t now)
+{
+  enum
+  {
+    OTHER_ZONE = 3 /* ms, a round trip between availability zones */
+  };
+  double zone = str_eq (d->zone, v->zone) ? 0 : OTHER_ZONE;
+
+  return expected_wait (d, g, need, now) + zone
+         + d->latency * (1 + (double)d->busy) + rng_unit (v->rng);
+}
+
+static db_t *
+best_replica (view_t *v, const ask_t *a, const group_t *g, token_t need,
+              msec_t now, double *wait)
+{
+  db_t *best = NULL;
+  double least = 0;
+
+  for (int i = 0; i < v->ndbs; i++)
+    {
+      db_t *d = v->dbs[i];
+      if (!usable (v, a, i, now) || str_eq (d->name, g->primary)
+          || view_limit (v, d->name, now) == 0)
+        continue;
+      double c = cost (v, d, g, need, now);
+      if (best && c >= least)
+        continue;
+      best = d;
+      least = c;
+      *wait = expected_wait (d, g, need, now);
+    }
+  return best;
+}
+
+/* What a replica has to cover for A; false when a sample must be taken
+   first.  */
+static bool
+requirement (const ask_t *a, const group_t *g, msec_t now, token_t *need)
+{
+  *need = a->token;
+  if (a->max_age < 0 && a->token.term)
+    return true;
+  /* The oldest sample that is good enough asks the least of a replica.  */
+  msec_t since = a->max_age < 0 ? a->began : now - a->max_age + AGE_MARGIN;
+  const sample_t *s = view_oldest (g, since);
+  if (s)
+    *need = token_max (&g->history, a->token, (token_t){ s->term, s->pos });
+  return s != NULL;
+}
+
+route_t
+route_pick (view_t *v, const ask_t *a, msec_t now)
+{
+  const group_t *g = view_find_group (v, a->group);
+  token_t need = { 0, 0 };
+  double wait = 0;
+
+  if (g == NULL || now >= a->deadline)
+    return (route_t){ .kind = ROUTE_NONE };
+  /* A bound shorter than the read itself takes leaves no time to prove it.  */
+  if (a->write || (a->max_age >= 0 && a->max_age <= AGE_MARGIN))
+    return to_primary (v, a, now, ROUTE_PRIMARY);
+  if (!requirement (a, g, now, &need))
+    return to_primary (v, a, now, ROUTE_BARRIER);
+  db_t *d = best_replica (v, a, g, need, now, &wait);
+  msec_t left = a->deadline - now;
+  if (d == NULL || wait > WAIT_SHORT)
+    {
+      route_t r = to_primary (v, a, now, ROUTE_PRIMARY);
+      /* Without a primary a replica that may still catch up within the
+         deadline is the only hope.  */
+      if (r.kind == ROUTE_PRIMARY || d == NULL)
+        return r;
+    }
+  msec_t most = wait > WAIT_SHORT ? left : WAIT_SHORT;
+  return (route_t){ .kind = ROUTE_REPLICA,
+                    .db = d,
+                    .term = need.term,
+                    .need = need,
+                    .wait = most < left ? most : left };
+}
--- /dev/null
+++ b/test/test_route.c
@@ -0,0 +1,246 @@
+#include "route.h"
+
+#include <apr_general.h>
+#include <check.h>
+#include <stdlib.h>
+
+static apr_pool_t *pool;
+static rng_t rng;
+static view_t *view;
+static int64_t seq;
+
+static db_info_t dbs[3] = {
+  { .group = STR ("g"), .name = STR ("a"), .zone = STR ("z1"), .term = 1 },
+  { .group = STR ("g"), .name = STR ("b"), .zone = STR ("z1"), .term = 1 },
+  { .group = STR ("g"), .name = STR ("c"), .zone = STR ("z2"), .term = 1 },
+};
+
+static void
+setup (void)
+{
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+  rng_init (&rng, 1);
+  view = view_new (pool, STR ("z1"), &rng);
+  seq = 0;
+}
+
+static void
+teardown (void)
+{
+  apr_pool_destroy (pool);
+}
+
+static bool
+grant (msec_t sent, msec_t now, int64_t raft_term, int64_t term,
+       const char *primary, const char *history)
+{
+  lease_t l = { .group = STR ("g"),
+                .term = term,
+                .primary = str_of (primary),
+                .ttl = 400,
+                .sample = -1,
+                .history = str_of (history) };
+  budget_t b = { .name = STR ("b"), .limit = 3, .ttl = 2000 };
+  seq++;
+  grant_t g = { .seq = seq,
+                .sent = sent,
+                .raft_term = raft_term,
+                .leases = { &l, 1 },
+                .dbs = { dbs, 3 },
+                .budgets = { &b, 1 } };
+  bool cfg_new;
+
+  return view_grant (view, &g, now, &cfg_new, NULL);
+}
+
+static ask_t
+ask (bool write)
+{
+  return (ask_t){ .group = STR ("g"),
+                  .write = write,
+                  .max_age = -1,
+                  .began = 1000,
+                  .deadline = 5000 };
+}
+
+/* Guards against a lease counted from the answer instead of the request.  */
+START_TEST (lease_counts_from_send)
+{
+  ck_assert (grant (1000, 1350, 1, 1, "a", "1:0"));
+  ck_assert (view_lease (view, STR ("g"), 1, 1399));
+  ck_assert (!view_lease (view, STR ("g"), 1, 1400));
+  ck_assert (!view_lease (view, STR ("g"), 2, 1300));
+}
+END_TEST
+
+/* Guards against a deposed leader's or an older answer being taken.  */
+START_TEST (stale_grants_are_refused)
+{
+  ck_assert (grant (1000, 1001, 5, 3, "a", "3:0"));
+  ck_assert (!grant (1100, 1101, 4, 4, "b", "3:0,4:1"));
+  seq -= 2;
+  ck_assert (!grant (1200, 1201, 5, 4, "b", "3:0,4:1"));
+  seq += 5;
+  ck_assert (grant (1300, 1301, 6, 2, "b", "2:0"));
+  ck_assert (!view_lease (view, STR ("g"), 2, 1310));
+}
+END_TEST
+
+/* Guards against acknowledging under a lease when a database has already
+   reported a later term.  */
+START_TEST (later_term_ends_the_lease)
+{
+  grant (1000, 1001, 1, 1, "a", "1:0");
+  view_sample (view, STR ("g"), 2, 10, 1100);
+  ck_assert (!view_lease (view, STR ("g"), 1, 1110));
+}
+END_TEST
+
+/* Guards against a write without a lease.  */
+START_TEST (write_needs_lease)
+{
+  ask_t a = ask (true);
+  int64_t term;
+
+  ck_assert_int_eq (route_pick (view, &a, 1000).kind, ROUTE_NONE);
+  grant (1000, 1001, 1, 1, "a", "1:0");
+  ck_assert_int_eq (route_pick (view, &a, 1100).kind, ROUTE_PRIMARY);
+  ck_assert_int_eq (route_pick (view, &a, 1500).kind, ROUTE_LATER);
+  ck_assert_int_eq (route_pick (view, &a, 5000).kind, ROUTE_NONE);
+  ck_assert_ptr_null (view_primary (view, STR ("g"), 1500, &term));
+}
+END_TEST
+
+/* Guards against a read without token that uses a position sampled before its
+   connection began.  */
+START_TEST (barrier_needs_fresh_sample)
+{
+  ask_t a = ask (false);
+
+  grant (900, 901, 1, 1, "a", "1:0");
+  view_sample (view, STR ("g"), 1, 7, 999);
+  ck_assert_int_eq (route_pick (view, &a, 1010).kind, ROUTE_BARRIER);
+  view_sample (view, STR ("g"), 1, 9, 1000);
+  route_t r = route_pick (view, &a, 1010);
+  ck_assert_int_eq (r.kind, ROUTE_REPLICA);
+  ck_assert_int_eq (r.need.pos, 9);
+  ck_assert (!str_eq (r.db->name, STR ("a")));
+}
+END_TEST
+
+/* Guards against an age bound proven by too old a sample, and against an age
+   bound that forgets the session's own write.  */
+START_TEST (age_bound)
+{
+  ask_t a = ask (false);
+
+  grant (900, 901, 1, 1, "a", "1:0");
+  view_sample (view, STR ("g"), 1, 7, 910);
+  a.max_age = 500;
+  ck_assert_int_eq (route_pick (view, &a, 1100).kind, ROUTE_REPLICA);
+  ck_assert_int_eq (route_pick (view, &a, 1100).need.pos, 7);
+  a.token = (token_t){ 1, 12 };
+  ck_assert_int_eq (route_pick (view, &a, 1100).need.pos, 12);
+  grant (1800, 1801, 1, 1, "a", "1:0");
+  ck_assert_int_eq (route_pick (view, &a, 1810).kind, ROUTE_BARRIER);
+  a.max_age = 10;
+  ck_assert_int_eq (route_pick (view, &a, 1810).kind, ROUTE_PRIMARY);
+}
+END_TEST
+
+/* Guards against work for a leaving or failing database.  */
+START_TEST (leaving_and_failed_replicas_get_no_work)
+{
+  ask_t a = ask (false);
+
+  a.token = (token_t){ 1, 0 };
+  dbs[1].state = DB_LEAVING;
+  grant (1000, 1001, 1, 1, "a", "1:0");
+  dbs[1].state = DB_ACTIVE;
+  for (int i = 0; i < 20; i++)
+    ck_assert (str_eq (route_pick (view, &a, 1010).db->name, STR ("c")));
+  view_failed (view, STR ("c"), 1010);
+  ck_assert_int_eq (route_pick (view, &a, 1011).kind, ROUTE_PRIMARY);
+  a.tried = 1u << 2;
+  ck_assert_int_eq (route_pick (view, &a, 4900).kind, ROUTE_LATER);
+}
+END_TEST
+
+/* Guards against the budget lasting longer than its lease.  */
+START_TEST (budget_falls_to_the_floor)
+{
+  ck_assert_int_eq (view_limit (view, STR ("b"), 1000), 0);
+  grant (1000, 1100, 1, 1, "a", "1:0");
+  ck_assert_int_eq (view_limit (view, STR ("b"), 2999), 3);
+  ck_assert_int_eq (view_limit (view, STR ("b"), 3000), 1);
+  ck_assert_int_eq (view_limit (view, STR ("b"), 1100 + 7200000), 0);
+}
+END_TEST
+
+static const struct
+{
+  const char *history;
+  int64_t pos;
+  token_t token;
+  bool covers;
+} coverage[] = {
+  { "1:0", 10, { 1, 10 }, true },        { "1:0", 9, { 1, 10 }, false },
+  { "1:0,2:8", 8, { 1, 10 }, true },     { "1:0,2:8", 7, { 1, 10 }, false },
+  { "1:0,2:8", 7, { 1, 7 }, true },      { "1:0,2:8", 20, { 3, 1 }, false },
+  { "1:0,2:8,3:30", 9, { 2, 9 }, true }, { "1:0,3:30", 30, { 2, 90 }, true },
+  { "1:0", 0, { 0, 0 }, true },          { "", 10, { 1, 1 }, false },
+};
+
+/* Guards against positions of different terms being compared directly.  */
+START_TEST (coverage_across_terms)
+{
+  history_t h;
+
+  ck_assert (history_parse (str_of (coverage[_i].history), &h, NULL));
+  ck_assert_int_eq (history_covers (&h, coverage[_i].pos, coverage[_i].token),
+                    coverage[_i].covers);
+}
+END_TEST
+
+/* Guards against malformed tokens and histories being taken.  */
+START_TEST (bad_tokens)
+{
+  static const char *const bad[] = { "", "1", "1:", ":1", "a:1", "-1:2" };
+  token_t t;
+  history_t h;
+  err_t e = { 0 };
+
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    ck_assert (!token_parse (str_of (bad[i]), &t, &e));
+  ck_assert (!history_parse (STR ("2:0,1:5"), &h, &e));
+  ck_assert (!history_parse (STR ("1:5,2:4"), &h, &e));
+  ck_assert (!history_parse (STR ("1:5,"), &h, &e));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("route");
+  TCase *t = tcase_create ("route");
+  SRunner *r = srunner_create (s);
+
+  tcase_add_checked_fixture (t, setup, teardown);
+  tcase_add_test (t, lease_counts_from_send);
+  tcase_add_test (t, stale_grants_are_refused);
+  tcase_add_test (t, later_term_ends_the_lease);
+  tcase_add_test (t, write_needs_lease);
+  tcase_add_test (t, barrier_needs_fresh_sample);
+  tcase_add_test (t, age_bound);
+  tcase_add_test (t, leaving_and_failed_replicas_get_no_work);
+  tcase_add_test (t, budget_falls_to_the_floor);
+  tcase_add_loop_test (t, coverage_across_terms, 0,
+                       sizeof coverage / sizeof *coverage);
+  tcase_add_test (t, bad_tokens);
+  suite_add_tcase (s, t);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
