--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -23,6 +23,7 @@
 #include "../lib/pgwire/events.def"
 #include "../lib/sql/events.def"
 #include "../lib/entry/events.def"
+#include "../lib/dblink/events.def"
 #include "../cmd/ppdbsim/events.def"
 #include "../cmd/ppload/events.def"
 #include "../cmd/pimentopost/events.def"
