Refuse msgpack lengths that do not fit into the frame

Cause: fuzz_frames found that six bytes (dd b8 b8 b8 85 7a) made msgpack allocate 128 GiB before it noticed that the data ends. Change: rpc_scan checks announced lengths and depth before unpacking; lists have at most 16,384 records; make fuzz builds all test/fuzz_*.c with libFuzzer and sanitizers.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,29 @@
 	@$(MAKE) --no-print-directory tests
 	@tools/runtests $(B)
 
+# Fuzz targets test/fuzz_*.c with clang's libFuzzer and sanitizers; the corpus
+# of fuzz_X is test/corpus/X.
+FUZZ_RUNS ?= 200000
+FB = $(B)/fuzz
+FUZZFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined -O1 -g
+FUZZERS = $(patsubst test/%.c,$(FB)/%,$(wildcard test/fuzz_*.c))
+
+$(FB)/%.o: %.c
+	@mkdir -p $(@D)
+	@$(CLANG) -std=gnu11 -D_GNU_SOURCE -Iinclude $(shell pkg-config --cflags $(PKGS) 2>/dev/null) \
+	  $(FUZZFLAGS) -fsanitize=fuzzer-no-link -MMD -MP -c $< -o $@
+
+$(FB)/fuzz_%: $(FB)/test/fuzz_%.o $(LIBSRC:%.c=$(FB)/%.o)
+	@$(CLANG) $(FUZZFLAGS) -fsanitize=fuzzer -o $@ $^ $(LIBS)
+
+fuzz: $(FUZZERS)
+	@for f in $(FUZZERS); do \
+	  n=$$(basename $$f | sed s/fuzz_//); mkdir -p $(FB)/corpus/$$n; c=; \
+	  [ -d test/corpus/$$n ] && c=test/corpus/$$n; \
+	  $$f -runs=$(FUZZ_RUNS) -max_len=4096 -seed=1 -print_final_stats=1 $(FB)/corpus/$$n $$c \
+	    2>$(FB)/$$n.log || { tail -30 $(FB)/$$n.log; exit 1; }; \
+	  echo "$$n: $$(grep -E 'number_of_executed_units' $(FB)/$$n.log)"; done
+
 fmt:
 	clang-format --dry-run -Werror $(CSRC)
 
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -15,6 +15,8 @@
 enum
 {
   RPC_MAX_FRAME = 1 << 20, /* bytes */
+  RPC_MAX_LIST
+  = 16384, /* records; bounds the memory that a frame can ask for */
   RPC_VERSION = 1,
   RPC_SNAP_CHUNK = 256 << 10 /* bytes */
 };
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -1,4 +1,5 @@
 #include "rpc.h"
+#include "scan.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -354,6 +355,9 @@
 {
   if (o->type != MSGPACK_OBJECT_ARRAY)
     return err_set (e, ERR_PROTOCOL, t->name, "a list was expected");
+  if (o->via.array.size > RPC_MAX_LIST)
+    return err_set (e, ERR_TOO_LARGE, t->name, "%u records, at most %d",
+                    o->via.array.size, RPC_MAX_LIST);
   l->n = o->via.array.size;
   l->v = apr_pcalloc (pool, l->n * t->size + 1);
   for (size_t i = 0; i < l->n; i++)
@@ -441,11 +445,16 @@
   size_t off = 0;
   void *msg = NULL;
 
+  if (!rpc_scan (body))
+    {
+      err_set (e, ERR_PROTOCOL, "frame", "not one msgpack value of %zu bytes",
+               body.n);
+      return NULL;
+    }
   msgpack_unpacked_init (&u);
   int rc = msgpack_unpack_next (&u, body.p, body.n, &off);
   if (rc != MSGPACK_UNPACK_SUCCESS || off != body.n)
-    err_set (e, ERR_PROTOCOL, "frame", "not one msgpack value of %zu bytes",
-             body.n);
+    err_set (e, ERR_PROTOCOL, "frame", "unpacking failed (%d)", rc);
   else
     msg = unpack_message (pool, &u.data, type, e);
   msgpack_unpacked_destroy (&u);
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -100,6 +100,21 @@
 }
 END_TEST
 
+/* Guards against a short frame that announces a huge array: unpacking it
+   asked for 128 GiB (found by fuzz_frames).  */
+START_TEST (codec_refuses_announced_lengths)
+{
+  msgtype_t type;
+  err_t e = { 0 };
+
+  ck_assert_ptr_null (
+      rpc_decode (pool, STR ("\xdd\xb8\xb8\xb8\x85\x7a"), &type, &e));
+  ck_assert_int_eq (e.code, ERR_PROTOCOL);
+  ck_assert_ptr_null (rpc_decode (
+      pool, STR ("\x91\x91\x91\x91\x91\x91\x91\x91\x91\x01"), &type, &e));
+}
+END_TEST
+
 typedef struct
 {
   int runs;
@@ -143,6 +158,7 @@
   tcase_add_test (t, ring_refuses_when_full);
   tcase_add_test (t, codec_round_trip);
   tcase_add_test (t, codec_refuses_damage);
+  tcase_add_test (t, codec_refuses_announced_lengths);
   tcase_add_test (t, supervisor_restarts_with_a_limit);
   suite_add_tcase (s, t);
   srunner_run_all (r, CK_NORMAL);
