Cache statement classes by shape

Change: constants are cut out before the look-up; texts with a backslash, dollar quote or inner comment keep the whole text as key. The fingerprint is the hash of the shape.

--- a/include/sql.h
+++ b/include/sql.h
@@ -1,5 +1,6 @@
 /* sql - what a statement does, by PostgreSQL's own parser (libpg_query) behind
-   a bounded cache, and the hint comment in front of it.  */
+   a bounded cache by shape (the text without constants), and the hint comment
+   in front of it.  */
 
 #ifndef SQL_H
 #define SQL_H
@@ -33,7 +34,7 @@
 typedef struct
 {
   sqlclass_t cls;
-  uint64_t fingerprint; /* same for statements of the same shape */
+  uint64_t fingerprint; /* same for statements that differ in constants only */
   bool multi_write;     /* SQL_MULTI: one of them is not a read */
   bool multi_block;     /* SQL_MULTI: has transaction control in it */
   bool multi_refused;   /* SQL_MULTI: has COPY, SQL_SESSION or SQL_TWO_PHASE */
@@ -44,11 +45,11 @@
 
 typedef struct sql_cache sql_cache_t;
 
-/* sql_cache_new: a cache of CAP statements (by text, with a bound of
-   SQL_CACHE_TEXT bytes each); used by one thread.  Freed with POOL.  */
+/* sql_cache_new: a cache of CAP shapes of at most SQL_CACHE_TEXT bytes each;
+ * used by one thread.  Freed with POOL.  */
 enum
 {
-  SQL_CACHE_TEXT = 4096 /* longer statements are parsed each time */
+  SQL_CACHE_TEXT = 4096 /* longer ones are parsed each time */
 };
 sql_cache_t *sql_cache_new (apr_pool_t *pool, size_t cap);
 /* sql_classify: class of TEXT.  Strings of OUT live until the next call.  */
--- a/lib/sql/cache.c
+++ b/lib/sql/cache.c
@@ -1,4 +1,5 @@
 #include "classify.h"
+#include "shape.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -22,6 +23,7 @@
 struct sql_cache
 {
   apr_pool_t *scratch;
+  buf_t shape;
   size_t sets;
   uint64_t tick;
   slot_t *slots;
@@ -35,6 +37,7 @@
   for (size_t i = 0; i < c->sets * WAYS; i++)
     free (c->slots[i].text);
   free (c->slots);
+  buf_free (&c->shape);
   return APR_SUCCESS;
 }
 
@@ -94,29 +97,46 @@
   keep_str (next, &s->sql.value);
 }
 
+/* Parses TEXT and keeps the result under KEY.  */
+static slot_t *
+fill (sql_cache_t *c, str_t text, str_t key, uint64_t hash, slot_t *victim,
+      sql_t *out)
+{
+  apr_pool_clear (c->scratch);
+  str_t z = str_dup (c->scratch, text);
+
+  /* A NUL inside the text cannot be sent on as one statement.  */
+  *out = (sql_t){ .cls = SQL_INVALID };
+  if (strlen (z.p) != z.n)
+    return NULL;
+  sql_parse (c->scratch, z.p, out);
+  out->fingerprint = hash;
+  if (key.n > SQL_CACHE_TEXT)
+    return NULL;
+  store (victim, key, hash, out);
+  return victim;
+}
+
 void
 sql_classify (sql_cache_t *c, str_t text, sql_t *out)
 {
-  uint64_t hash = str_hash (text);
-  slot_t *victim;
-  slot_t *s = find (c, text, hash, &victim);
-
-  if (s == NULL)
+  c->shape.n = c->shape.off = 0;
+  /* The first byte keeps shapes and whole texts apart.  */
+  buf_add (&c->shape, "s", 1);
+  if (!sql_shape (text, &c->shape))
     {
-      apr_pool_clear (c->scratch);
-      str_t z = str_dup (c->scratch, text);
-      if (strlen (z.p) != z.n)
-        {
-          /* A NUL inside the text cannot be sent on as one statement.  */
-          *out = (sql_t){ .cls = SQL_INVALID };
-          return;
-        }
-      sql_parse (c->scratch, z.p, out);
-      if (text.n > SQL_CACHE_TEXT)
-        return;
-      store (victim, text, hash, out);
-      s = victim;
+      c->shape.n = 0;
+      buf_add (&c->shape, "t", 1);
+      buf_adds (&c->shape, text);
     }
+  str_t key = buf_str (&c->shape);
+  uint64_t hash = str_hash (key);
+  slot_t *victim;
+  slot_t *s = find (c, key, hash, &victim);
+  if (s == NULL)
+    s = fill (c, text, key, hash, victim, out);
+  if (s == NULL)
+    return;
   s->used = ++c->tick;
   *out = s->sql;
 }
--- a/lib/sql/classify.c
+++ b/lib/sql/classify.c
@@ -422,9 +422,6 @@
     {
       classify_tree (pool, tree, out);
       pg_query__parse_result__free_unpacked (tree, NULL);
-      PgQueryFingerprintResult fp = pg_query_fingerprint (text);
-      out->fingerprint = fp.error ? 0 : fp.fingerprint;
-      pg_query_free_fingerprint_result (fp);
     }
   pg_query_free_protobuf_parse_result (res);
 }
--- a/test/test_sql.c
+++ b/test/test_sql.c
@@ -129,6 +129,46 @@
 }
 END_TEST
 
+static const char *const tricky[][2] = {
+  /* A read, then a text that must not be taken for the same shape.  */
+  { "SELECT 'a'", "SELECT 'a'; DELETE FROM t; SELECT 'b'" },
+  { "SELECT 'a''b'", "SELECT 'a'; DELETE FROM t WHERE id = 'b'" },
+  { "SELECT E'a'", "SELECT E'a\\\\'; DELETE FROM t; --'" },
+  { "SELECT $$a$$", "SELECT $$a$$; DELETE FROM t; SELECT $$b$$" },
+  { "/* a */ SELECT 1", "/* a /* b */ */ DELETE FROM t" },
+  { "SELECT \"a\" FROM t", "SELECT \"a\" FROM t; DELETE FROM t" },
+  { "SELECT 1 -- x", "SELECT 1 -- x\n; DELETE FROM t" },
+  { "SELECT val FROM t1", "DELETE FROM t1" },
+};
+
+/* Guards against a write that the shape cache takes for a read.  */
+START_TEST (shapes_keep_writes_apart)
+{
+  sql_t a;
+  sql_t b;
+
+  sql_classify (cache, str_of (tricky[_i][0]), &a);
+  ck_assert_int_eq (a.cls, SQL_READ);
+  sql_classify (cache, str_of (tricky[_i][1]), &b);
+  ck_assert_msg (b.cls == SQL_WRITE || b.multi_write, "'%s' is class %d",
+                 tricky[_i][1], (int)b.cls);
+}
+END_TEST
+
+/* Guards against constants filling the cache.  */
+START_TEST (shapes_merge_constants)
+{
+  sql_t a;
+  sql_t b;
+
+  sql_classify (cache, STR ("/* pimentopost key=1 */ SELECT 'x', 1.5"), &a);
+  sql_classify (cache, STR ("SELECT 'yy''z', 22"), &b);
+  ck_assert_int_eq (a.fingerprint, b.fingerprint);
+  sql_classify (cache, STR ("SELECT 'x', x1"), &b);
+  ck_assert_int_ne (a.fingerprint, b.fingerprint);
+}
+END_TEST
+
 /* Guards against hints being misread or silently ignored.  */
 START_TEST (hints)
 {
@@ -173,6 +213,9 @@
   tcase_add_test (t, set_keeps_name_and_value);
   tcase_add_test (t, multi_flags);
   tcase_add_test (t, cache_evicts);
+  tcase_add_loop_test (t, shapes_keep_writes_apart, 0,
+                       sizeof tricky / sizeof *tricky);
+  tcase_add_test (t, shapes_merge_constants);
   tcase_add_test (t, hints);
   suite_add_tcase (s, t);
   srunner_run_all (r, CK_NORMAL);
