Add the control decisions

A renewal now carries the highest raft term that the sender saw, so that a new leader can tell renewals sent after its election from older ones when it confirms connection budgets. No test yet beyond the build.

--- a/include/control.h
+++ b/include/control.h
@@ -77,6 +77,8 @@
                 err_t *e);
 } ctl_conf_ops_t;
 
+extern const ctl_conf_ops_t ctl_conf_ops;
+
 /* ---- actions ---- */
 
 typedef enum
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -230,10 +230,11 @@
   int64_t cfg_term; /* configuration in force: raft term and index */
   int64_t cfg_index;
   bool stopping;
-  list_t probes;    /* probe_t: what this instance saw of databases */
-  list_t announces; /* announce_t received since the last renewal */
-  list_t uses;      /* use_t */
-  str_t address;    /* caller address of this instance */
+  list_t probes;     /* probe_t: what this instance saw of databases */
+  list_t announces;  /* announce_t received since the last renewal */
+  list_t uses;       /* use_t */
+  str_t address;     /* caller address of this instance */
+  int64_t raft_term; /* highest in a grant received, 0 for none */
 } renew_t;
 
 typedef enum
--- /dev/null
+++ b/lib/control/budget.c
@@ -0,0 +1,163 @@
+#include "ctl.h"
+
+/* Every entry instance holds one connection to each database as its floor for
+   as long as it may run.  The rest is divided by demand under leases.  A
+   database's sum counts, for each instance, the largest of its floor, its
+   grants that may still be in force, and the connections it reported.  */
+
+enum
+{
+  FLOOR = 1
+};
+
+static int64_t
+held (const hold_t *h, msec_t now)
+{
+  int64_t n = FLOOR;
+
+  if (now < h->cur_until && h->cur > n)
+    n = h->cur;
+  if (now < h->old_until && h->old > n)
+    n = h->old;
+  return n;
+}
+
+static int64_t
+total (const control_t *c, const mem_t *m)
+{
+  const ctl_group_t *k = conf_group (c, str_of (m->group));
+
+  return k && k->connections > CTL_RESERVED ? k->connections - CTL_RESERVED
+                                            : 0;
+}
+
+/* What the others may be using now.  */
+static int64_t
+others (const control_t *c, const mem_t *m, int slot, msec_t now)
+{
+  int64_t n = 0;
+
+  for (int i = 0; i < MAX_ENTRIES; i++)
+    if (c->ent[i] && i != slot)
+      n += held (&m->hold[i], now);
+  return n;
+}
+
+static bool
+competes (const control_t *c, int i, msec_t now)
+{
+  const ent_t *t = c->ent[i];
+
+  return t && !t->removed && t->boot && now - t->seen < CTL_BUDGET;
+}
+
+/* Fair share of the instance in SLOT: the connections above the floors go one
+   by one to the instances that want more, then to all, so that a burst finds
+   room.  */
+static int64_t
+share (const control_t *c, const mem_t *m, int slot, msec_t now)
+{
+  int64_t extra = total (c, m);
+  int64_t got[MAX_ENTRIES] = { 0 };
+  int n = 0;
+
+  for (int i = 0; i < MAX_ENTRIES; i++)
+    {
+      extra -= c->ent[i] ? FLOOR : 0;
+      n += competes (c, i, now);
+    }
+  for (bool wanted = true; extra > 0 && n > 0;)
+    {
+      bool any = false;
+      for (int i = 0; i < MAX_ENTRIES && extra > 0; i++)
+        {
+          if (!competes (c, i, now)
+              || (wanted && m->hold[i].want <= got[i] + FLOOR))
+            continue;
+          got[i]++;
+          extra--;
+          any = true;
+        }
+      wanted = wanted && any;
+    }
+  return got[slot] + FLOOR;
+}
+
+static void
+give (hold_t *h, int64_t limit, msec_t now)
+{
+  if (now < h->cur_until && h->cur > limit)
+    {
+      if (now >= h->old_until || h->cur > h->old)
+        h->old = h->cur;
+      if (h->cur_until > h->old_until)
+        h->old_until = h->cur_until;
+    }
+  if (h->open > limit)
+    {
+      if (now >= h->old_until || h->open > h->old)
+        h->old = h->open;
+      h->old_until = now + CTL_BUDGET_WAIT;
+    }
+  h->cur = limit;
+  h->cur_until = now + CTL_BUDGET_WAIT;
+}
+
+void
+budget_uses (control_t *c, int slot, const renew_t *r, msec_t now)
+{
+  (void)now;
+  for (int i = 0; i < c->nmem; i++)
+    c->mem[i]->hold[slot].want = c->mem[i]->hold[slot].open = 0;
+  for (size_t i = 0; i < r->uses.n; i++)
+    {
+      const use_t *u = LIST_AT (r->uses, use_t, i);
+      mem_t *m = mem_find (c, u->name);
+      if (!m)
+        continue;
+      m->hold[slot].want = u->want;
+      m->hold[slot].open = u->open;
+    }
+}
+
+/* A new leader does not know what its predecessor granted.  Until those grants
+   have run out it only confirms what an instance has open, in renewals sent
+   after the change (they carry the new raft term).  What was open then was
+   within the predecessor's grants and still counts there.  */
+static bool
+inherited (const control_t *c, const hold_t *h, const ent_t *t,
+           const renew_t *r, msec_t now, int64_t *limit)
+{
+  if (now - c->role_at >= CTL_BUDGET_WAIT)
+    return false;
+  if (t->added && now - t->added < CTL_BUDGET_WAIT)
+    *limit = 0;
+  else if (r->raft_term == c->raft_term)
+    *limit = h->open > FLOOR ? h->open : FLOOR;
+  else
+    *limit = -1;
+  return true;
+}
+
+bool
+budget_fill (control_t *c, mem_t *m, int slot, const renew_t *r, msec_t now,
+             budget_t *out)
+{
+  hold_t *h = &m->hold[slot];
+  int64_t limit;
+
+  out->name = mem_name (m);
+  out->ttl = CTL_BUDGET;
+  if (!inherited (c, h, c->ent[slot], r, now, &limit))
+    {
+      int64_t room = total (c, m) - others (c, m, slot, now);
+      limit = share (c, m, slot, now);
+      limit = limit < room ? limit : room;
+      limit = limit > 0 ? limit : 0;
+    }
+  if (limit < 0)
+    return false;
+  give (h, limit, now);
+  out->limit = limit;
+  return true;
+}
--- /dev/null
+++ b/lib/control/entry.c
@@ -0,0 +1,78 @@
+#include "ctl.h"
+
+#include <string.h>
+
+static void
+propose (control_t *c, ent_t *t, int64_t state, const char *cause, msec_t now)
+{
+  rec_t r = { .type = REC_ENTRY,
+              .name = str_of (t->name),
+              .state = state,
+              .cause = str_of (cause) };
+
+  if (t->proposed && now - t->proposed < REPROPOSE)
+    return;
+  t->proposed = now;
+  act_append (c, &r);
+}
+
+/* An instance that was taken out of the configuration gives its floors back
+   once it says that it holds nothing, in a renewal that it sent after it was
+   told.  */
+static void
+release_removed (control_t *c, ent_t *t, const renew_t *r, msec_t now)
+{
+  int64_t open = 0;
+
+  for (size_t i = 0; i < r->uses.n; i++)
+    open += LIST_AT (r->uses, use_t, i)->open;
+  if (t->told_unknown && open == 0 && r->raft_term == c->raft_term)
+    propose (c, t, 2, "removed from the configuration, holds nothing", now);
+  t->told_unknown = true;
+}
+
+ent_t *
+entry_renew (control_t *c, const renew_t *r, msec_t now, int *slot)
+{
+  const ctl_instance_t *x = conf_instance (c, r->name);
+  ent_t *t = ent_find (c, r->name, slot);
+
+  if (!t)
+    return NULL;
+  if (!x || !x->entry)
+    {
+      if (t->removed)
+        release_removed (c, t, r, now);
+      return NULL;
+    }
+  if (t->boot && t->boot != r->boot && !t->stopping
+      && now - t->seen < CTL_LEASE)
+    {
+      refuse_note (c, STR (""), r->name, r->address,
+                   "two instances with one name", now);
+      return NULL;
+    }
+  t->boot = r->boot;
+  t->seen = now;
+  t->stopping = r->stopping;
+  if (!t->up && !r->stopping)
+    propose (c, t, 1, "renewed", now);
+  else if (t->up && r->stopping)
+    propose (c, t, 0, "planned stop", now);
+  return t;
+}
+
+void
+entry_tick (control_t *c, msec_t now)
+{
+  for (int i = 0; i < MAX_ENTRIES; i++)
+    {
+      ent_t *t = c->ent[i];
+      if (!t)
+        continue;
+      if (t->up && now - t->seen > CTL_MEMBER_EXPIRY)
+        propose (c, t, 0, "no renewal for 3 s", now);
+      else if (t->removed && now - t->removed_at > CTL_FLOOR_HOLD)
+        propose (c, t, 2, "removed from the configuration for 2 h", now);
+    }
+}
--- /dev/null
+++ b/lib/control/renew.c
@@ -0,0 +1,128 @@
+#include "ctl.h"
+
+#include <string.h>
+
+static str_t
+copy (apr_pool_t *pool, const char *s)
+{
+  return str_dup (pool, str_of (s));
+}
+
+static bool
+active (const control_t *c, const mem_t *m)
+{
+  return !(m->bits & M_REMOVED) && conf_group (c, str_of (m->group));
+}
+
+static void
+fill_dbs (const control_t *c, apr_pool_t *pool, grant_t *out)
+{
+  db_info_t *v = apr_pcalloc (pool, sizeof *v * (size_t)(c->nmem + 1));
+
+  for (int i = 0; i < c->nmem; i++)
+    {
+      const mem_t *m = c->mem[i];
+      if (!active (c, m))
+        continue;
+      v[out->dbs.n++]
+          = (db_info_t){ .group = copy (pool, m->group),
+                         .name = copy (pool, m->name),
+                         .address = copy (pool, m->address),
+                         .zone = copy (pool, m->zone),
+                         .state = mem_state (m),
+                         .term = m->log_term,
+                         .position = m->st.position,
+                         .lag = m->st.primary ? 0 : m->st.upstream_age };
+    }
+  out->dbs.v = v;
+}
+
+static void
+fill_leases (control_t *c, msec_t now, apr_pool_t *pool, grant_t *out)
+{
+  lease_t *v = apr_pcalloc (pool, sizeof *v * (size_t)(c->ngrp + 1));
+
+  for (int i = 0; i < c->ngrp; i++)
+    {
+      if (!conf_group (c, str_of (c->grp[i]->name)))
+        continue;
+      lease_t *l = &v[out->leases.n++];
+      lease_fill (c, c->grp[i], now, l);
+      l->group = str_dup (pool, l->group);
+      l->primary = str_dup (pool, l->primary);
+      l->address = str_dup (pool, l->address);
+      l->history = str_dup (pool, l->history);
+    }
+  out->leases.v = v;
+}
+
+static void
+fill_budgets (control_t *c, const renew_t *r, int slot, msec_t now,
+              apr_pool_t *pool, grant_t *out)
+{
+  budget_t *v = apr_pcalloc (pool, sizeof *v * (size_t)(c->nmem + 1));
+
+  for (int i = 0; i < c->nmem; i++)
+    {
+      budget_t *b = &v[out->budgets.n];
+      if (!active (c, c->mem[i])
+          || !budget_fill (c, c->mem[i], slot, r, now, b))
+        continue;
+      b->name = str_dup (pool, b->name);
+      out->budgets.n++;
+    }
+  out->budgets.v = v;
+}
+
+static void
+fill_config (const control_t *c, const renew_t *r, apr_pool_t *pool,
+             grant_t *out)
+{
+  out->cfg_term = c->cfg_term;
+  out->cfg_index = c->cfg_index;
+  out->cfg_version = c->cfg_version;
+  if (c->cfg_index > r->cfg_index)
+    out->cfg = str_dup (pool, (str_t){ c->cfg, c->cfg_n });
+}
+
+static void
+take_reports (control_t *c, const renew_t *r, int slot, msec_t now)
+{
+  for (size_t i = 0; i < r->probes.n; i++)
+    detect_probe (c, r->name, false, LIST_AT (r->probes, probe_t, i), now);
+  for (size_t i = 0; i < r->announces.n; i++)
+    member_announce (c, LIST_AT (r->announces, announce_t, i), now);
+  budget_uses (c, slot, r, now);
+}
+
+void
+control_renew (control_t *c, const renew_t *r, msec_t now, apr_pool_t *pool,
+               grant_t *out)
+{
+  bool quorum = now - c->quorum_at <= CTL_QUORUM_AGE;
+  int slot = -1;
+
+  memset (out, 0, sizeof *out);
+  out->seq = r->seq;
+  out->sent = r->sent;
+  out->raft_term = c->raft_term;
+  out->leader = copy (pool, c->leads ? c->address : c->leader);
+  fill_config (c, r, pool, out);
+  out->status = GRANT_NOT_LEADER;
+  if (!c->leads)
+    return;
+  out->status = GRANT_NO_QUORUM;
+  if (!c->ready)
+    return;
+  out->status = GRANT_UNKNOWN;
+  if (!entry_renew (c, r, now, &slot))
+    return;
+  take_reports (c, r, slot, now);
+  fill_dbs (c, pool, out);
+  out->cfg_confirmed = quorum;
+  out->status = quorum ? GRANT_OK : GRANT_NO_QUORUM;
+  if (!quorum)
+    return;
+  fill_leases (c, now, pool, out);
+  fill_budgets (c, r, slot, now, pool, out);
+}
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -156,7 +156,8 @@
         INT (renew_t, sent),           INT (renew_t, cfg_term),
         INT (renew_t, cfg_index),      BOOL (renew_t, stopping),
         LIST (renew_t, probes, probe), LIST (renew_t, announces, announce),
-        LIST (renew_t, uses, use),     TEXT (renew_t, address) };
+        LIST (renew_t, uses, use),     TEXT (renew_t, address),
+        INT (renew_t, raft_term) };
 TABLE (renew);
 
 static const field_t lease_fields[]
