Serve health and metrics over HTTP; count a start as having heard a leader

A restarted voter keeps from voting for the shortest election timeout, which the lease wait of a new leader relies on.

--- a/include/base.h
+++ b/include/base.h
@@ -247,4 +247,15 @@
    end, returns the exit code.  Call it before any thread exists.  */
 int sup_main (sup_t *s);
 
+/* ---- health and metrics ---- */
+
+typedef struct http http_t;
+
+/* http_new: serves GET /health (200 or 503 with the text that HEALTH appends
+   to OUT, called in the duty's thread) and GET /metrics (counter_text) on the
+   listening socket FD, which it takes over.  Freed with POOL.  */
+http_t *http_new (apr_pool_t *pool, int fd,
+                  bool (*health) (void *arg, buf_t *out), void *arg, err_t *e);
+duty_t http_duty (http_t *h);
+
 #endif
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -121,7 +121,7 @@
   r->arg = arg;
   r->rng = rng;
   r->now = now;
-  r->heard = -1;
+  r->heard = now;
   buf_init (&r->in);
   apr_pool_cleanup_register (pool, r, raft_free, apr_pool_cleanup_null);
   if (!load (r, saved))
--- a/lib/raft/vote.c
+++ b/lib/raft/vote.c
@@ -79,13 +79,15 @@
 }
 
 /* A leader that was heard within the shortest election timeout is kept, so
-   that a member that cannot hear it does not depose it.  */
+   that a member that cannot hear it does not depose it.  A start counts as
+   having heard one: the instance may have answered a heartbeat just before,
+   and leases of databases rest on the time that a leader keeps a quorum.  */
 static bool
 has_leader (const raft_t *r)
 {
   if (r->role == RAFT_LEADER)
     return r->now - last_quorum (r) < RAFT_ELECTION_MIN;
-  return r->leader && r->heard >= 0 && r->now - r->heard < RAFT_ELECTION_MIN;
+  return r->now - r->heard < RAFT_ELECTION_MIN;
 }
 
 static void
