Add the control role of the daemon

Network I/O and decisions are two duties joined by rings; raft and control run in the decision duty, database links and health in their own.

--- /dev/null
+++ b/cmd/pimentopostd/act.c
@@ -0,0 +1,161 @@
+#include "decide.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- records ---- */
+
+static bool
+keep (decide_t *d, str_t data)
+{
+  char *p = d->npending < PENDING ? malloc (data.n + 1) : NULL;
+
+  if (p == NULL)
+    return false;
+  if (data.n)
+    memcpy (p, data.p, data.n);
+  d->pending[d->npending++] = (str_t){ p, data.n };
+  return true;
+}
+
+/* False only when the store failed.  */
+static bool
+propose (decide_t *d, str_t data, bool *full, err_t *e)
+{
+  err_t inner = { 0 };
+
+  *full = false;
+  if (raft_propose (d->raft, data, d->now, NULL, &inner))
+    return true;
+  *full = inner.code == ERR_FULL;
+  if (*full || inner.code == ERR_NOT_LEADER)
+    return true;
+  if (inner.code == ERR_TOO_LARGE)
+    {
+      log_event (EV_RECORD_REFUSED, "bytes=%zu", data.n);
+      return true;
+    }
+  if (e)
+    *e = inner;
+  return false;
+}
+
+/* Records keep their order, so nothing passes those that wait.  */
+static bool
+append (decide_t *d, str_t data, err_t *e)
+{
+  bool full = true;
+
+  if (d->npending == 0 && !propose (d, data, &full, e))
+    return false;
+  return !full || keep (d, data)
+         || err_set (e, ERR_FULL, "log", "%d records wait", PENDING);
+}
+
+bool
+pending_retry (decide_t *d, err_t *e)
+{
+  bool full = false;
+  int i = 0;
+
+  while (i < d->npending && !full)
+    {
+      if (!propose (d, d->pending[i], &full, e))
+        return false;
+      if (!full)
+        free (d->pending[i++].p);
+    }
+  d->npending -= i;
+  memmove (d->pending, d->pending + i,
+           (size_t)d->npending * sizeof *d->pending);
+  return true;
+}
+
+void
+pending_drop (decide_t *d)
+{
+  while (d->npending)
+    free (d->pending[--d->npending].p);
+}
+
+/* ---- commands to databases ---- */
+
+/* A command that was not queued was not sent, and control is told so.  */
+static void
+command (decide_t *d, const db_cmd_t *cmd)
+{
+  db_event_t ev = { .kind = DB_EV_RESULT, .cmd = *cmd };
+
+  if (dblink_command (d->link, cmd, &ev.err))
+    return;
+  log_event (EV_LINK_REFUSED, "database=%s command=%s", cmd->name,
+             db_op_name (cmd->op));
+  ev.err.code = ERR_UNREACHABLE;
+  control_db (d->control, &ev, d->now);
+}
+
+bool
+carry_out (decide_t *d, const ctl_act_t *a, err_t *e)
+{
+  switch (a->kind)
+    {
+    case CTL_APPEND:
+      return append (d, a->data, e);
+    case CTL_DB:
+      command (d, &a->db);
+      break;
+    case CTL_ANSWER:
+      decide_answer (d, a->ticket, MSG_SUBMIT_RESP, &a->resp);
+      break;
+    }
+  return true;
+}
+
+/* ---- health and metrics ---- */
+
+void
+metrics (decide_t *d)
+{
+  d->gauge[0]
+      = counter_get ("pimentopost_raft_leader", "1 when this instance leads");
+  d->gauge[1] = counter_get ("pimentopost_raft_term", "raft term");
+  d->gauge[2] = counter_get ("pimentopost_raft_commit",
+                             "index of the last committed entry");
+  d->gauge[3] = counter_get ("pimentopost_raft_applied",
+                             "index of the last applied entry");
+  d->gauge[4] = counter_get ("pimentopost_configuration_version",
+                             "version of the configuration in force");
+}
+
+void
+publish (decide_t *d)
+{
+  int64_t version = 0;
+
+  control_config (d->control, &version, NULL, NULL);
+  atomic_store (&d->shown_role, raft_role (d->raft));
+  atomic_store (&d->shown_term, raft_term (d->raft));
+  atomic_store (&d->shown_commit, raft_commit (d->raft));
+  atomic_store (&d->shown_version, version);
+  atomic_store (&d->shown_leader, raft_leader (d->raft) != 0);
+  counter_set (d->gauge[0], raft_role (d->raft) == RAFT_LEADER);
+  counter_set (d->gauge[1], raft_term (d->raft));
+  counter_set (d->gauge[2], raft_commit (d->raft));
+  counter_set (d->gauge[3], raft_applied (d->raft));
+  counter_set (d->gauge[4], version);
+}
+
+bool
+decide_health (void *arg, buf_t *out)
+{
+  decide_t *d = arg;
+  bool leader = atomic_load (&d->shown_leader);
+
+  buf_fmt (out, "role=%s leader=%s term=%lld commit=%lld version=%lld\n",
+           atomic_load (&d->shown_role) == RAFT_LEADER ? "leader" : "follower",
+           leader ? "known" : "unknown",
+           (long long)atomic_load (&d->shown_term),
+           (long long)atomic_load (&d->shown_commit),
+           (long long)atomic_load (&d->shown_version));
+  return leader;
+}
--- /dev/null
+++ b/cmd/pimentopostd/join.c
@@ -0,0 +1,119 @@
+#include "duties.h"
+
+void
+join_init (join_t *j, apr_pool_t *pool, const settings_t *s)
+{
+  *j = (join_t){ .set = s, .address = s->listen, .asked = -HELLO_EVERY };
+  j->other = apr_pcalloc (pool, (s->npeers + 1) * sizeof *j->other);
+  for (size_t i = 0; i < s->npeers; i++)
+    if (!str_eq (s->peers[i].name, s->name))
+      j->other[j->n++] = (other_t){ .name = s->peers[i].name,
+                                    .address = s->peers[i].address,
+                                    .at = -1 };
+    else
+      j->address = s->peers[i].address;
+}
+
+static bool
+allowed (const join_t *j, str_t name)
+{
+  for (size_t i = 0; i < j->set->npeers; i++)
+    if (str_eq (j->set->peers[i].name, name))
+      return true;
+  return false;
+}
+
+/* Whether this instance forms the first membership: of instances that all have
+   empty folders, the one with the first name.  An instance that did not answer
+   may hold a log, so all must have answered.  */
+static bool
+forms_first (const join_t *j, msec_t now)
+{
+  for (size_t i = 0; i < j->n; i++)
+    {
+      const other_t *o = &j->other[i];
+      if (o->at < 0 || now - o->at > HELLO_AGE || o->has_log
+          || str_cmp (o->name, j->set->name) < 0)
+        return false;
+    }
+  return true;
+}
+
+static bool
+bootstrap (const join_t *j, raft_t *r, msec_t now, err_t *e)
+{
+  member_t m[16];
+  size_t n = 0;
+
+  m[n++] = (member_t){ .id = raft_id (r),
+                       .name = j->set->name,
+                       .address = j->address };
+  for (size_t i = 0; i < j->n && n < 16; i++)
+    m[n++] = (member_t){ .id = j->other[i].id,
+                         .name = j->other[i].name,
+                         .address = j->other[i].address };
+  log_event (EV_RAFT_BOOTSTRAP, "instances=%zu", n);
+  return raft_bootstrap (r, m, n, now, e);
+}
+
+bool
+join_tick (join_t *j, raft_t *r, msec_t now, join_send_t send, void *arg,
+           err_t *e)
+{
+  hello_t m = { .id = raft_id (r),
+                .name = j->set->name,
+                .address = j->address,
+                .join = true };
+
+  if (raft_member (r, raft_id (r)))
+    return true;
+  if (raft_last (r) == 0 && forms_first (j, now))
+    return bootstrap (j, r, now, e);
+  if (now - j->asked < HELLO_EVERY)
+    return true;
+  j->asked = now;
+  for (size_t i = 0; i < j->n; i++)
+    send (arg, j->other[i].address, MSG_HELLO, &m);
+  return true;
+}
+
+void
+join_answer (join_t *j, const hello_resp_t *m, msec_t now)
+{
+  for (size_t i = 0; i < j->n; i++)
+    {
+      other_t *o = &j->other[i];
+      if (!str_eq (o->name, m->name))
+        continue;
+      o->id = m->id;
+      o->has_log = m->has_log;
+      o->at = now;
+    }
+}
+
+void
+join_ask (join_t *j, raft_t *r, const hello_t *m, msec_t now,
+          hello_resp_t *out)
+{
+  const member_t *l = raft_member (r, raft_leader (r));
+  member_t add = { .id = m->id, .name = m->name, .address = m->address };
+  err_t e = { 0 };
+  char line[256];
+
+  *out = (hello_resp_t){ .id = raft_id (r),
+                         .name = j->set->name,
+                         .has_log = raft_last (r) > 0,
+                         .leader = l ? l->address : (str_t){ 0 } };
+  if (!m->join || raft_role (r) != RAFT_LEADER || m->id <= 0
+      || !allowed (j, m->name) || raft_member (r, m->id))
+    return;
+  if (raft_members (r, MEMBER_ADD, &add, now, &e))
+    log_event (EV_RAFT_JOIN, "instance=" STR_FMT " id=%lld", STR_ARG (m->name),
+               (long long)m->id);
+  else if (e.code == ERR_CONFLICT)
+    {
+      err_line (&e, line, sizeof line);
+      log_event (EV_RAFT_JOIN_REFUSED, "instance=" STR_FMT " cause=%s",
+                 STR_ARG (m->name), line);
+    }
+}
