--- a/include/dblink.h
+++ b/include/dblink.h
@@ -14,7 +14,7 @@
   DB_NAME_MAX = 64,        /* bytes with NUL, names and addresses */
   DB_PROBE_INTERVAL = 100, /* ms between probes of one database */
   DB_PROBE_TIMEOUT = 150,  /* ms for an answer, connecting included */
-  DB_COMMAND_TIMEOUT = 400 /* ms for the answer to a command */
+  DB_COMMAND_TIMEOUT = 300 /* ms for the answer to a command */
 };
 
 typedef enum
