--- a/test/memfs.c
+++ b/test/memfs.c
@@ -36,6 +36,7 @@
   dir_t durable;
   dir_t journal[JOURNAL]; /* state after each unsynced change of names */
   int changes;
+  int left; /* changes until they fail; 0: no limit */
   inode_t inode[INODES];
 };
 
@@ -81,6 +82,22 @@
   m->journal[m->changes++] = m->now;
 }
 
+void
+memfs_fail (memfs_t *m, int k)
+{
+  m->left = k;
+}
+
+/* Counts one change.  */
+static bool
+may (memfs_t *m, const char *name, err_t *e)
+{
+  if (m->left == 0 || --m->left > 0)
+    return true;
+  m->left = 1;
+  return err_set (e, ERR_SYS, name, "no space");
+}
+
 buf_t *
 memfs_data (memfs_t *m, const char *name)
 {
@@ -135,15 +152,15 @@
 {
   memfs_t *m = arg;
   const dirent_t *d = find (&m->now, name);
+  bool ok = may (m, name, e);
 
-  (void)e;
   if (d == NULL)
     d = make (m, name);
   inode_t *n = &m->inode[d->inode];
   buf_adds (&n->data, data);
-  if (sync)
+  if (sync && ok)
     n->synced = n->data.n;
-  return true;
+  return ok;
 }
 
 static bool
@@ -152,7 +169,7 @@
   memfs_t *m = arg;
   const dirent_t *d = find (&m->now, name);
 
-  if (d == NULL)
+  if (d == NULL || !may (m, name, e))
     return err_set (e, ERR_SYS, name, "no such file");
   m->inode[d->inode].data.n = (size_t)size;
   m->inode[d->inode].synced = (size_t)size;
@@ -166,7 +183,7 @@
   dirent_t *f = find (&m->now, from);
   dirent_t *t = find (&m->now, to);
 
-  if (f == NULL)
+  if (f == NULL || !may (m, to, e))
     return err_set (e, ERR_SYS, from, "no such file");
   if (t)
     t->name[0] = '\0';
@@ -181,7 +198,7 @@
   memfs_t *m = arg;
   dirent_t *d = find (&m->now, name);
 
-  if (d == NULL)
+  if (d == NULL || !may (m, name, e))
     return err_set (e, ERR_SYS, name, "no such file");
   d->name[0] = '\0';
   changed (m);
@@ -210,7 +227,8 @@
 {
   memfs_t *m = arg;
 
-  (void)e;
+  if (!may (m, "folder", e))
+    return false;
   m->durable = m->now;
   m->changes = 0;
   collect (m);
@@ -222,6 +240,7 @@
 {
   int k = (int)rng_below (rng, (uint64_t)m->changes + 1);
 
+  m->left = 0;
   m->now = k ? m->journal[k - 1] : m->durable;
   m->durable = m->now;
   m->changes = 0;
