--- a/include/raft.h
+++ b/include/raft.h
@@ -88,6 +88,8 @@
                             new one; 0: 1024 */
   int64_t trail;         /* entries kept in front of a snapshot for slow
                             followers; 0: 256 */
+  size_t batch;          /* bytes of entries in one message, of which at least
+                            one entry is sent; 0: RAFT_MAX_BATCH */
 } raft_conf_t;
 
 typedef struct raft raft_t;
--- a/lib/raft/append.c
+++ b/lib/raft/append.c
@@ -11,7 +11,7 @@
   for (int64_t i = from; i <= upto; i++)
     {
       bytes += log_at (r, i)->data.n;
-      if (n && bytes > RAFT_MAX_BATCH)
+      if (n && bytes > r->conf.batch)
         break;
       n++;
     }
--- a/lib/raft/load.c
+++ b/lib/raft/load.c
@@ -131,15 +131,23 @@
   return APR_ARRAY_IDX (l->entries, (int)(i - l->base - 1), log_entry_t).term;
 }
 
-/* An entry replaces those that stand at its index and behind.  */
+/* An entry replaces those that stand at its index and behind.  Entries in
+   front of a segment's base can be replaced as well, since a segment may have
+   begun behind entries that were not committed; the snapshot covers that base
+   when nothing in front of it is left.  */
 static bool
 take_record (load_t *l, const raft_record_t *rec)
 {
   for (size_t i = 0; i < rec->entries.n; i++)
     {
       const log_entry_t *v = LIST_AT (rec->entries, log_entry_t, i);
-      if (v->index <= l->base || v->index > last_index (l) + 1)
+      if (v->index <= 0 || v->index > last_index (l) + 1)
         return false;
+      if (v->index <= l->base)
+        {
+          l->base = v->index - 1;
+          l->base_term = -1;
+        }
       l->entries->nelts = (int)(v->index - l->base - 1);
       APR_ARRAY_PUSH (l->entries, log_entry_t) = *v;
     }
@@ -198,13 +206,13 @@
 static bool
 chain (load_t *l, const char *name, const segment_t *g, err_t *e)
 {
-  if (l->s->segments->nelts == 0 || g->reset
-      || g->base <= l->out->snap.index)
+  if (l->s->segments->nelts == 0 || g->reset || g->base <= l->out->snap.index)
     {
       l->base = g->base;
       l->base_term = g->base_term;
       l->entries->nelts = 0;
-      return true;
+      return g->base <= l->out->snap.index
+             || corrupt (e, name, 8, "the entries before it are missing");
     }
   const segment_t *prev
       = &APR_ARRAY_IDX (l->s->segments, l->s->segments->nelts - 1, segment_t);
@@ -275,8 +283,6 @@
 
   if (l->s->segments->nelts == 0)
     return corrupt (e, "log-0000000000000001", 0, "the log is missing");
-  if (skip < 0)
-    return corrupt (e, "log", 0, "entries behind the snapshot are missing");
   l->s->last = last_index (l);
   l->s->last_term = term_at (l, l->s->last);
   if (o->snap.index && term_at (l, o->snap.index) != o->snap.term)
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -117,6 +117,8 @@
     r->conf.compact_after = DEFAULT_COMPACT;
   if (r->conf.trail == 0)
     r->conf.trail = DEFAULT_TRAIL;
+  if (r->conf.batch == 0)
+    r->conf.batch = RAFT_MAX_BATCH;
   r->ops = ops;
   r->arg = arg;
   r->rng = rng;
--- a/lib/raft/store.c
+++ b/lib/raft/store.c
@@ -157,8 +157,7 @@
 
   if (n == 0)
     return true;
-  /* A segment is only closed where its successor's base is known to stay.  */
-  if (s->size > SEGMENT_MAX && v[0].index == s->last + 1
+  if (s->size > SEGMENT_MAX
       && !segment_begin (s, s->last, s->last_term, false, e))
     return false;
   buf_init (&b);
--- /dev/null
+++ b/test/fuzz_raft.c
@@ -0,0 +1,232 @@
+/* Stateful fuzzing of the replicated log with its store: bytes are operations
+   on a simulated cluster, the oracle of sim.h checks every step, and at the
+   end the healed cluster has to commit again.  */
+
+#include "sim.h"
+
+#include <apr_general.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+enum
+{
+  OPS_MAX = 400,   /* of one input */
+  QUEUE_MAX = 200, /* packets under way */
+  SETTLE = 10000   /* ms */
+};
+
+/* Operations done since the start.  */
+static int64_t fuzz_ops;
+
+static bool
+disk_present (const sim_t *s, int64_t id)
+{
+  for (int i = 0; i < s->n; i++)
+    if (s->node[i].id == id)
+      return true;
+  return false;
+}
+
+/* A leader that has applied all it holds, with every instance running; only
+   then can the tests know that a loss leaves a quorum.  -1 otherwise.  */
+static int
+steady_leader (sim_t *s)
+{
+  int l = sim_leader (s);
+
+  for (int i = 0; i < s->n; i++)
+    if (s->node[i].raft == NULL)
+      return -1;
+  if (l < 0 || !raft_leads (s->node[l].raft)
+      || raft_applied (s->node[l].raft) < raft_last (s->node[l].raft))
+    return -1;
+  return l;
+}
+
+/* Whether a quorum of voters keeps its disks when WITHOUT loses its own.  */
+static bool
+quorum_stays (sim_t *s, int l, int64_t without)
+{
+  const members_t *m = raft_member_list (s->node[l].raft);
+  int all = 0, left = 0;
+
+  for (size_t i = 0; i < m->list.n; i++)
+    {
+      const member_t *x = LIST_AT (m->list, member_t, i);
+      all += x->voter;
+      left += x->voter && x->id != without && disk_present (s, x->id);
+    }
+  return left > all / 2;
+}
+
+static void
+lose_disk (sim_t *s, int slot)
+{
+  int l = steady_leader (s);
+
+  if (l < 0 || !quorum_stays (s, l, s->node[slot].id))
+    return;
+  sim_lose_disk (s, slot);
+  sim_start (s, slot);
+}
+
+/* Removes a member while all voters have their disks; sim_join brings it back
+   as a learner.  */
+static void
+remove_member (sim_t *s, int slot)
+{
+  int l = steady_leader (s);
+  member_t m = { .id = s->node[slot].id };
+
+  if (l < 0 || s->node[l].frozen)
+    return;
+  const members_t *list = raft_member_list (s->node[l].raft);
+  for (size_t i = 0; i < list->list.n; i++)
+    if (!disk_present (s, LIST_AT (list->list, member_t, i)->id))
+      return;
+  raft_members (s->node[l].raft, MEMBER_REMOVE, &m, s->now, NULL);
+}
+
+static void
+heal (sim_t *s)
+{
+  memset (s->cut, 0, sizeof s->cut);
+  for (int i = 0; i < s->n; i++)
+    s->node[i].frozen = false;
+}
+
+static void
+propose (sim_t *s, unsigned arg)
+{
+  char text[16];
+  int l = arg & 0x80 ? sim_leader (s) : (int)arg % s->n;
+
+  snprintf (text, sizeof text, "%u", arg);
+  if (l >= 0)
+    sim_propose (s, l, str_of (text));
+}
+
+static void
+network (sim_t *s, unsigned op, unsigned arg)
+{
+  int a = (int)(arg % (unsigned)s->n);
+  int b = (int)(arg / 8 % (unsigned)s->n);
+
+  if (op < 76)
+    sim_deliver (s, (int)(arg % 8), false);
+  else if (op < 100)
+    for (unsigned i = 0; i < arg % 32; i++)
+      sim_deliver (s, 0, false);
+  else if (op < 112)
+    sim_drop (s, (int)(arg % 8));
+  else if (op < 120)
+    sim_deliver (s, (int)(arg % 8), true);
+  else if (op < 124)
+    sim_cut (s, a, b, true);
+  else if (op < 128)
+    sim_isolate (s, a, true);
+  else if (op < 134)
+    heal (s);
+  else
+    sim_cut (s, a, b, false);
+}
+
+/* Cuts the leader off, heals the rest and stops at the moment another one is
+   elected, with its first entry still under way.  */
+static void
+next_leader (sim_t *s)
+{
+  msec_t end = s->now + 2000;
+  int old = sim_leader (s);
+
+  heal (s);
+  if (old >= 0)
+    sim_isolate (s, old, true);
+  while (s->now < end && s->fault[0] == '\0')
+    {
+      while (sim_deliver (s, 0, false))
+        {
+          int l = sim_leader (s);
+          if (l >= 0 && l != old)
+            return;
+        }
+      sim_drop (s, 0);
+      sim_tick (s, 5);
+    }
+}
+
+static void
+step (sim_t *s, unsigned op, unsigned arg)
+{
+  int slot = (int)(arg % (unsigned)s->n);
+
+  if (op < 138)
+    network (s, op, arg);
+  else if (op < 166)
+    sim_tick (s, 1 + arg % 80);
+  else if (op < 192)
+    propose (s, arg);
+  else if (op < 196)
+    s->node[slot].frozen = s->node[slot].raft != NULL;
+  else if (op < 200)
+    s->node[slot].frozen = false;
+  else if (op < 207)
+    sim_crash (s, slot);
+  else if (op < 218)
+    sim_start (s, slot);
+  else if (op < 222)
+    lose_disk (s, slot);
+  else if (op < 230)
+    sim_join (s);
+  else if (op < 232)
+    remove_member (s, slot);
+  else if (op < 240)
+    sim_run (s, 20 + arg / 2);
+  else if (op < 252)
+    next_leader (s);
+  else
+    sim_run (s, 400);
+  while (s->queued > QUEUE_MAX)
+    sim_drop (s, 0);
+}
+
+/* Runs one input; the first violation goes to FAULT, empty when none.  */
+static void
+run_ops (const uint8_t *data, size_t size, char fault[256])
+{
+  fault[0] = '\0';
+  if (size < 4)
+    return;
+  int n = 3 + data[0] % 3;
+  sim_t *s = sim_new (data[1], n, data[0] & 0x80 ? n : 3);
+  if (data[2] & 1)
+    sim_wait (s, 3000);
+  for (size_t i = 4; i + 1 < size && i < 2 * OPS_MAX + 4; i += 2)
+    {
+      step (s, data[i], data[i + 1]);
+      fuzz_ops++;
+      if (s->fault[0])
+        break;
+    }
+  if (s->fault[0] == '\0')
+    sim_settle (s, SETTLE);
+  memcpy (fault, s->fault, 256);
+  sim_free (s);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  char fault[256];
+
+  run_ops (data, size, fault);
+  if (fault[0])
+    {
+      fprintf (stderr, "oracle: %s\n", fault);
+      abort ();
+    }
+  return 0;
+}
