--- a/lib/raft/append.c
+++ b/lib/raft/append.c
@@ -150,6 +150,21 @@
 
 /* ---- leader ---- */
 
+/* Takes up a refusal.  The hint skips a whole term and can lie in front of
+   entries that are known to match.  False for a refusal that is out of
+   date.  */
+static bool
+step_back (peer_t *p, int64_t hint)
+{
+  int64_t next = hint > p->match ? hint : p->match + 1;
+
+  if (next >= p->next)
+    return false;
+  p->probing = true;
+  p->next = next;
+  return true;
+}
+
 bool
 recv_append_resp (raft_t *r, const append_resp_t *m)
 {
@@ -171,12 +186,7 @@
       if (p->next <= p->match)
         p->next = p->match + 1;
     }
-  else if (m->hint > p->match && m->hint <= p->next)
-    {
-      p->probing = true;
-      p->next = m->hint;
-    }
-  else
+  else if (!step_back (p, m->hint))
     return true;
   if (!advance (r))
     return false;
--- a/lib/raft/local.h
+++ b/lib/raft/local.h
@@ -127,6 +127,8 @@
 bool apply_committed (raft_t *r);
 
 /* snap.c */
+/* members_at: membership, packed, in force at index I.  */
+str_t members_at (raft_t *r, int64_t i);
 bool compact (raft_t *r);
 bool hold_snapshot (raft_t *r, const raft_snap_t *s);
 void snap_drop (snap_t *s);
@@ -137,6 +139,9 @@
 /* member.c */
 peer_t *peer_of (raft_t *r, int64_t id);
 bool is_voter (const raft_t *r, int64_t id);
+/* may_campaign: a voter, or one until the change that removes it is known to
+   be committed.  */
+bool may_campaign (raft_t *r);
 int voters (const raft_t *r);
 int quorum (const raft_t *r);
 /* members_from_log: takes the membership over that is in force by the log.  */
--- a/lib/raft/member.c
+++ b/lib/raft/member.c
@@ -39,6 +39,32 @@
   return m && m->voter;
 }
 
+/* An instance whose removal is not committed can hold the longest log, and the
+   others then cannot win without its vote nor get it.  It has to campaign
+   itself, though its own vote does not count.  */
+bool
+may_campaign (raft_t *r)
+{
+  apr_pool_t *pool;
+  msgtype_t type;
+  bool was = false;
+
+  if (is_voter (r, r->id))
+    return true;
+  if (r->commit >= r->members_index || apr_pool_create (&pool, r->pool))
+    return false;
+  str_t before = members_at (r, r->members_index - 1);
+  const members_t *m
+      = before.n ? rpc_decode (pool, before, &type, NULL) : NULL;
+  for (size_t i = 0; m && i < m->list.n; i++)
+    {
+      const member_t *x = LIST_AT (m->list, member_t, i);
+      was |= x->id == r->id && x->voter;
+    }
+  apr_pool_destroy (pool);
+  return was;
+}
+
 int
 voters (const raft_t *r)
 {
@@ -250,6 +276,18 @@
   change (r, v, n);
 }
 
+/* Whether enough voters answer for one more of them: a promotion that raises
+   the quorum above those that are alive could never be committed.  */
+static bool
+room_for_voter (raft_t *r)
+{
+  int alive = 1;
+
+  for (size_t i = 0; i < r->members->list.n; i++)
+    alive += member_at (r, i)->voter && answers (r, member_at (r, i)->id);
+  return alive >= (voters (r) + 1) / 2 + 1;
+}
+
 /* A learner that has caught up takes the place of the voter of its name in two
    changes, the old voter leaving first: each change then keeps quorums that
    meet, and an instance that is lost anyway leaves no larger quorum behind. */
@@ -268,9 +306,9 @@
       if (m->voter || p == NULL || p->match < r->commit || !answers (r, m->id)
           || (old && answers (r, old->id)))
         continue;
-      if (old == NULL)
+      if (old == NULL && room_for_voter (r))
         promote (r, m);
-      else
+      else if (old)
         change (r, v, copy_members (r, old->id, v));
       return;
     }
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -202,7 +202,7 @@
   else if (r->now >= r->deadline)
     {
       r->leader = 0;
-      if (is_voter (r, r->id))
+      if (may_campaign (r))
         start_prevote (r);
       else
         reset_timeout (r);
--- a/lib/raft/snap.c
+++ b/lib/raft/snap.c
@@ -41,9 +41,7 @@
   return true;
 }
 
-/* Membership in force at index I: the last one in the log up to I, or that of
-   the snapshot.  */
-static str_t
+str_t
 members_at (raft_t *r, int64_t i)
 {
   for (; i > r->base; i--)
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -235,6 +235,27 @@
 }
 END_TEST
 
+/* Guards against a removal that is not committed stopping all elections: the
+   removed instance holds the longest log, so it has to campaign itself.  Found
+   by fuzzing.  */
+START_TEST (removed_instance_campaigns)
+{
+  sim_t *s = sim_new (11, 2, 2);
+  int l = sim_wait (s, 2000);
+  int a = 1 - l;
+  member_t m = { .id = s->node[l].id };
+
+  records (s, 3);
+  sim_isolate (s, l, true);
+  ck_assert (raft_members (s->node[l].raft, MEMBER_REMOVE, &m, s->now, NULL));
+  sim_run (s, 700);
+  sim_isolate (s, l, false);
+  ck_assert_int_ge (sim_wait (s, 5000), 0);
+  ck_assert_int_eq (voters_in (s->node[a].raft), 1);
+  done (s);
+}
+END_TEST
+
 /* Guards against a leader that goes on leading a membership without it.  */
 START_TEST (leader_is_removed)
 {
@@ -429,6 +450,29 @@
 }
 END_TEST
 
+/* Guards against a follower that is never caught up because the start of its
+   diverging term lies in front of an entry known to match.  Found by
+   fuzzing.  */
+START_TEST (hint_before_match)
+{
+  raft_t *r = solo_new ();
+  append_resp_t a = { .term = 4, .from = 2, .seq = 2000, .ok = true };
+
+  solo_lead (r);
+  for (int i = 0; i < 3; i++)
+    ck_assert (raft_propose (r, STR ("x"), 2000, NULL, NULL));
+  a.match = 2;
+  ck_assert (raft_recv (r, MSG_APPEND_RESP, &a, 2010, NULL));
+  a.ok = false;
+  a.match = 0;
+  a.hint = 1;
+  ck_assert (raft_recv (r, MSG_APPEND_RESP, &a, 2020, NULL));
+  ck_assert_int_eq (solo.append.prev_index, 2);
+  ck_assert_uint_eq (solo.append.entries.n, 0);
+  apr_pool_destroy (pool);
+}
+END_TEST
+
 /* Guards against quorum_at telling when an answer came instead of when its
    question was sent, and against answers of others counting.  */
 START_TEST (quorum_at_is_the_time_of_sending)
@@ -526,9 +570,11 @@
   tcase_add_test (c, lost_disks);
   tcase_add_test (c, learner_does_not_count);
   tcase_add_test (c, one_change_at_a_time);
+  tcase_add_test (c, removed_instance_campaigns);
   tcase_add_test (c, leader_is_removed);
   tcase_add_test (c, snapshot_in_chunks);
   tcase_add_test (o, old_term_is_not_counted);
+  tcase_add_test (o, hint_before_match);
   tcase_add_test (o, quorum_at_is_the_time_of_sending);
   tcase_add_test (o, store_before_answer);
   tcase_add_test (o, committed_entries_stay);
