--- a/lib/control/adopt.c
+++ b/lib/control/adopt.c
@@ -55,7 +55,7 @@
   int seen;
   mem_t *m = running (c, g, now, &seen);
 
-  if (seen < k->databases / 2 + 1 || seen < grp_need (c, g))
+  if (seen < k->databases / 2 + 1 || seen < c->rules.need (c, g))
     {
       g->ready_since = 0;
       return;
--- a/lib/control/apply.c
+++ b/lib/control/apply.c
@@ -29,6 +29,12 @@
               e.detail);
 }
 
+bool
+apply_base_holds (const control_t *c, const rec_t *r)
+{
+  return r->base == c->cfg_version;
+}
+
 /* Decides a submission.  Only the order of the log counts, so that of several
    submissions with one base version the first one wins everywhere.  */
 static void
@@ -37,7 +43,7 @@
 {
   outcome_t o = { .raft_term = raft_term, .index = index };
 
-  if (outcome_find (c, r->id))
+  if (c->rules.outcome (c, r->id))
     return;
   name_set (o.id, r->id);
   if (r->state == SUBMIT_INVALID)
@@ -46,7 +52,7 @@
       o.version = c->cfg_version;
       snprintf (o.detail, sizeof o.detail, STR_FMT, STR_ARG (r->cause));
     }
-  else if (r->base != c->cfg_version)
+  else if (!c->rules.base_holds (c, r))
     {
       o.status = SUBMIT_CONFLICT;
       o.version = c->cfg_version;
--- a/lib/control/budget.c
+++ b/lib/control/budget.c
@@ -32,8 +32,8 @@
 }
 
 /* What the others may be using now.  */
-static int64_t
-others (const control_t *c, const mem_t *m, int slot, msec_t now)
+int64_t
+budget_others (const control_t *c, const mem_t *m, int slot, msec_t now)
 {
   int64_t n = 0;
 
@@ -150,7 +150,7 @@
   out->ttl = CTL_BUDGET;
   if (!inherited (c, h, c->ent[slot], r, now, &limit))
     {
-      int64_t room = total (c, m) - others (c, m, slot, now);
+      int64_t room = total (c, m) - c->rules.others (c, m, slot, now);
       limit = share (c, m, slot, now);
       limit = limit < room ? limit : room;
       limit = limit > 0 ? limit : 0;
--- a/lib/control/ctl.c
+++ b/lib/control/ctl.c
@@ -27,6 +27,13 @@
   name_set (c->address, address);
   c->ops = *ops;
   c->wall = wall;
+  c->rules = (rules_t){ .lease_over = lease_over,
+                        .need = grp_need,
+                        .further = failover_further,
+                        .others = budget_others,
+                        .base_holds = apply_base_holds,
+                        .outcome = outcome_find,
+                        .state = mem_state };
   c->quorum_at = INT64_MIN / 2;
   c->outcomes = calloc (CTL_OUTCOMES, sizeof *c->outcomes);
   c->audits = calloc (CTL_AUDIT, sizeof *c->audits);
--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -171,6 +171,7 @@
   /* Failover.  */
   bool fenced;
   msec_t fence_sent;
+  bool fence_refused;
   int64_t fence_known_term, fence_known_pos; /* known at the first fence */
   int64_t f_log_term, f_pos;
   msec_t follow_sent;
@@ -241,9 +242,23 @@
   msec_t at;
 } told_t;
 
+/* The decisions that safety rests on.  The fuzzer replaces them one by one to
+   show that its oracle notices.  */
+typedef struct
+{
+  bool (*lease_over) (const control_t *c, const grp_t *g, msec_t now);
+  int (*need) (const control_t *c, const grp_t *g);
+  bool (*further) (const mem_t *a, const mem_t *b);
+  int64_t (*others) (const control_t *c, const mem_t *m, int slot, msec_t now);
+  bool (*base_holds) (const control_t *c, const rec_t *r);
+  outcome_t *(*outcome) (const control_t *c, str_t id);
+  int64_t (*state) (const mem_t *m);
+} rules_t;
+
 struct control
 {
   apr_pool_t *pool;
+  rules_t rules;
   name_t name;
   name_t address;
   ctl_conf_ops_t ops;
@@ -369,10 +384,16 @@
    says nothing about M.  */
 bool budget_fill (control_t *c, mem_t *m, int slot, const renew_t *r,
                   msec_t now, budget_t *out);
+/* budget_others: connections to M that instances other than the one in SLOT
+   may be using.  */
+int64_t budget_others (const control_t *c, const mem_t *m, int slot,
+                       msec_t now);
 void budget_uses (control_t *c, int slot, const renew_t *r, msec_t now);
 
 /* ---- failover.c ---- */
 void failover_tick (control_t *c, msec_t now);
+/* failover_further: A has a longer log than B, by term, then position.  */
+bool failover_further (const mem_t *a, const mem_t *b);
 void failover_result (control_t *c, const db_event_t *ev, msec_t now);
 /* failover_begin: an intent of this instance was applied.  */
 void failover_begin (control_t *c, grp_t *g, msec_t now);
@@ -385,6 +406,10 @@
 /* ---- follow.c ---- */
 void follow_tick (control_t *c, grp_t *g, msec_t now);
 
+/* ---- apply.c ---- */
+/* apply_base_holds: submission R is based on the present version.  */
+bool apply_base_holds (const control_t *c, const rec_t *r);
+
 /* ---- submit.c ---- */
 void submit_done (control_t *c, str_t id);
 void submit_drop (control_t *c);
--- a/lib/control/failover.c
+++ b/lib/control/failover.c
@@ -74,13 +74,13 @@
       mem_t *m = grp_mem (c, g, &i);
       if (!m)
         return;
-      m->fenced = false;
+      m->fenced = m->fence_refused = false;
       m->fence_sent = 0;
     }
 }
 
 static int
-fence (control_t *c, grp_t *g, msec_t now)
+fence (control_t *c, grp_t *g, msec_t now, bool *refused)
 {
   int n = 0;
 
@@ -90,6 +90,7 @@
       if (!m)
         return n;
       n += m->fenced && mem_whole (m);
+      *refused = *refused || m->fence_refused;
       if (m->fenced || (m->fence_sent && now - m->fence_sent < RESEND))
         continue;
       m->fence_sent = now;
@@ -99,8 +100,8 @@
     }
 }
 
-static bool
-further (const mem_t *a, const mem_t *b)
+bool
+failover_further (const mem_t *a, const mem_t *b)
 {
   return a->f_log_term > b->f_log_term
          || (a->f_log_term == b->f_log_term && a->f_pos > b->f_pos);
@@ -123,7 +124,7 @@
           || (!leaving && mem_state (m) != DB_ACTIVE))
         continue;
       ++*count;
-      if (!best || further (m, best))
+      if (!best || c->rules.further (m, best))
         best = m;
     }
 }
@@ -170,7 +171,7 @@
   int n;
   mem_t *m = choose (c, g, false, &n);
 
-  if (n < grp_need (c, g))
+  if (n < c->rules.need (c, g))
     {
       /* Gives those that stay a moment to be fenced too.  */
       if (now - g->majority < MAJORITY_WAIT / 5 && n > 0)
@@ -187,14 +188,20 @@
 static void
 drive (control_t *c, grp_t *g, msec_t now)
 {
-  int n = fence (c, g, now);
+  bool refused = false;
+  int n = fence (c, g, now, &refused);
 
   if (g->candidate[0])
     {
       promote (c, g, now);
       return;
     }
-  if (n < grp_need (c, g))
+  if (refused && now - g->intent_at > INTENT_PAUSE)
+    {
+      failover_propose (c, g, "a database refused the fence", now);
+      return;
+    }
+  if (n < c->rules.need (c, g))
     {
       if (now - g->intent_at > MAJORITY_WAIT && !g->refused)
         {
@@ -207,7 +214,7 @@
     }
   if (!g->majority)
     g->majority = now;
-  if (lease_over (c, g, now))
+  if (c->rules.lease_over (c, g, now))
     pick (c, g, now);
 }
 
@@ -232,7 +239,7 @@
       staying += m != p && mem_state (m) == DB_ACTIVE && mem_fresh (m, now)
                  && m->st.term == g->term;
     }
-  if (staying < grp_need (c, g))
+  if (staying < c->rules.need (c, g))
     return NULL;
   return mem_state (p) == DB_LEAVING ? "the primary is leaving"
                                      : "the primary's announcement ran out";
@@ -268,7 +275,7 @@
     }
   if (now - c->quorum_at > CTL_QUORUM_AGE)
     return;
-  if (reachable (c, g, now) >= grp_need (c, g))
+  if (reachable (c, g, now) >= c->rules.need (c, g))
     failover_propose (c, g, cause, now);
   else if (!g->refused)
     {
@@ -354,6 +361,8 @@
     detect_probe (c, str_of (c->name), true, &ev->probe, now);
   if (ev->cmd.op == DB_FENCE && ok && !m->fenced)
     fenced (c, m, now);
+  else if (ev->cmd.op == DB_FENCE && ev->err.code == ERR_DB)
+    m->fence_refused = true;
   else if (ev->cmd.op == DB_PROMOTE && ok
            && strcmp (m->name, g->candidate) == 0)
     promoted (c, g, m, now);
--- a/lib/control/renew.c
+++ b/lib/control/renew.c
@@ -29,7 +29,7 @@
                          .name = copy (pool, m->name),
                          .address = copy (pool, m->address),
                          .zone = copy (pool, m->zone),
-                         .state = mem_state (m),
+                         .state = c->rules.state (m),
                          .term = m->log_term,
                          .position = m->st.position,
                          .lag = m->st.primary ? 0 : m->st.upstream_age };
--- a/lib/control/submit.c
+++ b/lib/control/submit.c
@@ -96,7 +96,7 @@
       answer_refusal (c, ticket, SUBMIT_NOT_LEADER, "not the leader");
       return;
     }
-  o = outcome_find (c, s->id);
+  o = c->rules.outcome (c, s->id);
   if (o)
     answer_outcome (c, ticket, o, true);
   else if (!wait_for (c, ticket, s->id))
--- /dev/null
+++ b/test/world.h
@@ -0,0 +1,169 @@
+/* world - several control instances, entry instances' views and fake databases
+   with their own clock, for tests of control together with route.  */
+
+#ifndef WORLD_H
+#define WORLD_H
+
+#include "../lib/control/ctl.h"
+#include "route.h"
+
+#include <check.h>
+
+enum
+{
+  W_CTL = 3,
+  W_ENT = 4,
+  W_GRP = 2,
+  W_PER = 3,
+  W_DB = W_GRP * W_PER,
+  W_ZONES = 3,
+  W_STEP = 5, /* ms */
+  W_CONNECTIONS = 20
+};
+
+/* A fake database.  LOG[i] is the write at position i + 1.  */
+typedef struct
+{
+  char name[16];
+  char address[32];
+  int group;
+  int zone;
+  bool alive, frozen, leaving;
+  bool primary;
+  int64_t fence;
+  char owner[DB_NAME_MAX];
+  char term_owner[DB_NAME_MAX];
+  char upstream[DB_NAME_MAX];
+  int64_t upstream_term;
+  msec_t up_heard;
+  msec_t lag_until; /* applies nothing before */
+  history_t hist;
+  int64_t pos;
+  int *log;
+  int cap;
+  int64_t confirmed;
+  msec_t leaving_at;
+} wdb_t;
+
+typedef struct
+{
+  int64_t term;
+  char *p;
+  size_t n;
+} wentry_t;
+
+typedef struct
+{
+  control_t *c;
+  apr_pool_t *pool;
+  bool alive, frozen;
+  int64_t applied;
+  msec_t probed;
+  bool reached[W_DB];
+  msec_t answer[W_DB];
+} wctl_t;
+
+typedef struct
+{
+  view_t *view;
+  apr_pool_t *pool;
+  bool alive, frozen;
+  int zone;
+  int64_t boot, seq, raft_term;
+  int64_t cfg_term, cfg_index, cfg_version;
+  msec_t renewed, skew; /* its clock is the world's plus SKEW */
+  msec_t answer[W_DB];
+  bool reached[W_DB];
+  int open[W_DB], want[W_DB];
+} went_t;
+
+/* A message that arrives later.  */
+typedef struct wmsg wmsg_t;
+struct wmsg
+{
+  wmsg_t *next;
+  msec_t at;
+  int kind;
+  int to, from;
+  db_cmd_t cmd;
+  buf_t b;
+};
+
+typedef struct
+{
+  int64_t status, version;
+  bool repeated, answered;
+} wanswer_t;
+
+typedef struct
+{
+  apr_pool_t *pool;
+  rng_t rng;
+  msec_t now;
+  wdb_t db[W_DB];
+  wctl_t ctl[W_CTL];
+  went_t ent[W_ENT];
+  int leader; /* -1: none */
+  int64_t term;
+  msec_t heard[W_CTL]; /* last heartbeat of a leader */
+  msec_t elect_at;
+  wentry_t *log; /* committed up to COMMIT, the rest is the leader's tail */
+  int64_t nlog, caplog;
+  int64_t commit;
+  bool cut[W_ZONES][W_ZONES];
+  wmsg_t *msgs;
+  int delay; /* ms, most that a message takes */
+  wanswer_t answers[4096];
+  int restarts;
+  rules_t rules; /* for every control instance, when RULED */
+  bool ruled;
+  void (*on_promote) (void *arg, int db, int64_t term);
+  void *arg;
+} world_t;
+
+extern const ctl_conf_ops_t world_ops;
+
+/* world_new: all alive; the first database of each group is primary of term 1
+   when PRIMARIES.  */
+world_t *world_new (uint64_t seed, bool primaries);
+void world_free (world_t *w);
+/* world_run: lets MS pass.  */
+void world_run (world_t *w, msec_t ms);
+/* world_until: runs until DONE, at most MS; false when it did not happen.  */
+bool world_until (world_t *w, bool (*done) (world_t *w), msec_t ms);
+bool world_reach (const world_t *w, int zone1, int zone2);
+/* world_submit: to the leader; the answer lands in answers[TICKET].  */
+void world_submit (world_t *w, int ticket, const char *id, const char *who,
+                   int64_t base, const char *text);
+/* world_config: text that world_ops reads: "NAME ..." of entry instances 0 to
+   N - 1.  */
+const char *world_config (world_t *w, int entries);
+control_t *world_leader (world_t *w);
+grp_t *world_group (world_t *w, int group);
+wdb_t *world_primary (world_t *w, int group);
+mem_t *world_mem (world_t *w, int db);
+void world_restart_ctl (world_t *w, int i, bool from_snapshot);
+void world_restart_ent (world_t *w, int i);
+void world_lose_disk (wdb_t *d);
+msec_t world_ent_now (const world_t *w, int i);
+/* world_settled: a leader, and leases for every group.  */
+bool world_settled (world_t *w);
+/* world_start: elects a leader, submits the first configuration and waits for
+   leases.  */
+bool world_start (world_t *w);
+/* world_check_main: runs N tests, sets the number that failed.  */
+typedef const TTest *tests_t;
+void world_check_main (const char *name, const tests_t *t, int n, int *failed);
+/* world_audit: number of records of the leader's trail with this text.  */
+int world_audit (world_t *w, const char *what);
+
+/* ---- world_db.c ---- */
+void wdb_init (wdb_t *d, int i, bool primary);
+int64_t wdb_term (const wdb_t *d);
+bool wdb_readonly (const wdb_t *d);
+void wdb_write (wdb_t *d, int id);
+void wdb_step (world_t *w);
+bool wdb_command (world_t *w, int i, const db_cmd_t *c, db_event_t *ev);
+void wdb_probe (world_t *w, int i, probe_t *p, apr_pool_t *pool);
+
+#endif
