--- /dev/null
+++ b/test/test_admit.c
@@ -0,0 +1,274 @@
+#include "admit.h"
+
+#include <apr_general.h>
+#include <check.h>
+#include <stdlib.h>
+
+static apr_pool_t *pool;
+
+static void
+setup (void)
+{
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+}
+
+static void
+teardown (void)
+{
+  apr_pool_destroy (pool);
+}
+
+static admit_t *
+make (int queue, int cap)
+{
+  return admit_new (pool, (admit_conf_t){ queue, cap });
+}
+
+/* Runs one request of LATENCY ms at NOW, so that the limit learns.  */
+static void
+serve (admit_t *a, double latency, msec_t now)
+{
+  ck_assert (admit_offer (a, 999, 1, now + 100000, now, NULL));
+  while (admit_next (a, now).kind == ADMIT_START)
+    ;
+  admit_done (a, latency, ADMIT_OK, now);
+}
+
+static void
+expect (admit_t *a, msec_t now, admit_kind_t kind, uint64_t id)
+{
+  admit_action_t x = admit_next (a, now);
+
+  ck_assert_int_eq (x.kind, kind);
+  if (kind != ADMIT_NOTHING)
+    ck_assert_uint_eq (x.id, id);
+}
+
+/* Guards against a request of low worth starting before one of high worth, a
+   late deadline before an early one, and equals out of order.  */
+START_TEST (order)
+{
+  admit_t *a = make (10, 1);
+
+  ck_assert (admit_offer (a, 1, 1, 500, 0, NULL));
+  ck_assert (admit_offer (a, 2, 9, 900, 0, NULL));
+  ck_assert (admit_offer (a, 3, 9, 400, 0, NULL));
+  ck_assert (admit_offer (a, 4, 9, 400, 0, NULL));
+  ck_assert (admit_offer (a, 5, 1, 300, 0, NULL));
+  for (int i = 0; i < 5; i++)
+    {
+      static const uint64_t want[] = { 3, 4, 2, 5, 1 };
+      expect (a, 0, ADMIT_START, want[i]);
+      expect (a, 0, ADMIT_NOTHING, 0);
+      admit_done (a, 1, ADMIT_VOID, 0);
+    }
+  expect (a, 0, ADMIT_NOTHING, 0);
+}
+END_TEST
+
+/* Guards against a queue without bound, and against a request of high worth
+   being refused while ones of low worth wait.  */
+START_TEST (full_queue)
+{
+  admit_t *a = make (2, 0);
+  admit_kind_t why;
+
+  ck_assert (admit_offer (a, 1, 1, 500, 0, NULL));
+  ck_assert (admit_offer (a, 2, 5, 500, 0, NULL));
+  ck_assert (!admit_offer (a, 3, 1, 500, 0, &why));
+  ck_assert_int_eq (why, ADMIT_FULL);
+  ck_assert (admit_offer (a, 4, 7, 500, 0, NULL));
+  expect (a, 0, ADMIT_FULL, 1);
+  expect (a, 0, ADMIT_NOTHING, 0);
+  ck_assert_int_eq (admit_state (a).waiting, 2);
+  ck_assert (admit_withdraw (a, 2));
+  ck_assert (!admit_withdraw (a, 2));
+}
+END_TEST
+
+/* Guards against queueing what cannot be served in time, and against work for
+   an answer that nobody waits for any more.  */
+START_TEST (deadlines)
+{
+  admit_t *a = make (10, 1);
+  admit_kind_t why;
+
+  serve (a, 10, 0);
+  ck_assert (admit_offer (a, 1, 1, 1000, 0, NULL));
+  expect (a, 0, ADMIT_START, 1);
+  /* Two services of 10 ms are needed: that of request 1 and its own.  */
+  ck_assert (!admit_offer (a, 2, 1, 20, 0, &why));
+  ck_assert_int_eq (why, ADMIT_TOO_LATE);
+  ck_assert (admit_offer (a, 3, 1, 21, 0, NULL));
+  ck_assert (admit_offer (a, 4, 1, 500, 0, NULL));
+  ck_assert_int_eq (admit_wake (a), 11);
+  expect (a, 10, ADMIT_NOTHING, 0);
+  expect (a, 11, ADMIT_TOO_LATE, 3);
+  expect (a, 11, ADMIT_NOTHING, 0);
+  ck_assert_int_eq (admit_wake (a), 490);
+}
+END_TEST
+
+/* Guards against a lockout: a service time learned from a stall must not
+   refuse every later request.  */
+START_TEST (stall_is_unlearned)
+{
+  admit_t *a = make (10, 4);
+  int refused = 0;
+
+  serve (a, 5000, 0);
+  for (int i = 0; i < 200; i++)
+    {
+      msec_t now = i * 10;
+      if (!admit_offer (a, (uint64_t)i, 1, now + 50, now, NULL))
+        refused++;
+      else if (admit_next (a, now).kind == ADMIT_START)
+        admit_done (a, 2, ADMIT_OK, now);
+    }
+  ck_assert_int_eq (refused, 0);
+  ck_assert_double_lt (admit_state (a).service, 10);
+}
+END_TEST
+
+/* A database with SLOTS slots and a service time of SERVICE ms: keeps as many
+   requests running as the limit allows, for N answers.  */
+static void
+saturate (admit_t *a, int slots, double service, int n)
+{
+  int running = 0;
+
+  for (int i = 0; i < n; i++)
+    {
+      admit_offer (a, (uint64_t)i, 1, 1 << 30, 0, NULL);
+      admit_offer (a, (uint64_t)i, 1, 1 << 30, 0, NULL);
+      while (admit_next (a, 0).kind == ADMIT_START)
+        running++;
+      double over = running > slots ? (double)running / slots : 1;
+      admit_done (a, service * over, ADMIT_OK, 0);
+      running--;
+    }
+}
+
+/* Guards against a limit far from the slots of the database, in both
+   directions, and against one that stays put when the database slows down.  */
+START_TEST (limit_follows_slots)
+{
+  for (int slots = 2; slots <= 16; slots *= 2)
+    {
+      admit_t *a = make (64, 100);
+      saturate (a, slots, 4, 5000);
+      ck_assert_double_ge (admit_state (a).limit, slots);
+      ck_assert_double_le (admit_state (a).limit, 2 * slots + 2);
+      saturate (a, slots, 12, 50000);
+      ck_assert_double_ge (admit_state (a).limit, slots);
+      ck_assert_double_le (admit_state (a).limit, 2 * slots + 2);
+    }
+}
+END_TEST
+
+/* Guards against a stampede on a database that just came back, and against
+   counting one failure of many connections as many.  */
+START_TEST (restart_and_cuts)
+{
+  admit_t *a = make (64, 100);
+  int started = 0;
+
+  saturate (a, 8, 4, 5000);
+  double was = admit_state (a).limit;
+  admit_done (a, 0, ADMIT_LOST, 0);
+  admit_done (a, 0, ADMIT_LOST, 0);
+  ck_assert_double_eq_tol (admit_state (a).limit, was / 2, 0.01);
+  while (admit_state (a).running)
+    admit_done (a, 0, ADMIT_VOID, 0);
+  admit_restart (a, 0);
+  for (int i = 0; i < 60; i++)
+    admit_offer (a, (uint64_t)i, 1, 1 << 30, 0, NULL);
+  while (admit_next (a, 0).kind == ADMIT_START)
+    started++;
+  ck_assert_int_eq (started, 1);
+  saturate (a, 8, 4, 500);
+  ck_assert_double_ge (admit_state (a).limit, 8);
+}
+END_TEST
+
+/* Guards against more requests than connections.  */
+START_TEST (cap)
+{
+  admit_t *a = make (64, 2);
+  int started = 0;
+
+  saturate (a, 8, 4, 1000);
+  ck_assert_int_le (admit_state (a).running, 2);
+  admit_cap (a, 0);
+  while (admit_state (a).running)
+    admit_done (a, 0, ADMIT_VOID, 0);
+  while (admit_next (a, 0).kind == ADMIT_START)
+    started++;
+  ck_assert_int_eq (started, 0);
+}
+END_TEST
+
+/* Guards against retries over 10% of requests.  */
+START_TEST (retries)
+{
+  retry_t r;
+  int taken = 0;
+
+  retry_init (&r);
+  for (int i = 0; i < 10000; i++)
+    {
+      retry_request (&r);
+      taken += retry_take (&r);
+    }
+  ck_assert_int_le (taken, 1010);
+  ck_assert_int_ge (taken, 1000);
+}
+END_TEST
+
+/* Guards against more than LIMIT requests in any window, at its boundary too,
+   and against a client that keeps asking being locked out.  */
+START_TEST (rates)
+{
+  rate_t r;
+  msec_t at[20000];
+  int n = 0;
+  msec_t wait = 0;
+
+  rate_init (&r);
+  for (msec_t now = 12345; now < 32345; now++)
+    if (rate_take (&r, 50, 1000, now, &wait))
+      at[n++] = now;
+    else
+      ck_assert (wait > 0 && wait <= 1200);
+  for (int i = 50; i < n; i++)
+    ck_assert_int_ge (at[i] - at[i - 50], 1000);
+  ck_assert_int_ge (n, 50 * 17);
+  ck_assert (rate_take (&r, 0, 1000, 0, NULL));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("admit");
+  TCase *t = tcase_create ("admit");
+  SRunner *r;
+
+  tcase_add_checked_fixture (t, setup, teardown);
+  tcase_add_test (t, order);
+  tcase_add_test (t, full_queue);
+  tcase_add_test (t, deadlines);
+  tcase_add_test (t, stall_is_unlearned);
+  tcase_add_test (t, limit_follows_slots);
+  tcase_add_test (t, restart_and_cuts);
+  tcase_add_test (t, cap);
+  tcase_add_test (t, retries);
+  tcase_add_test (t, rates);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_ENV);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
