Measure the latency baseline with fewer requests running

The baseline was only a minimum over windows at full concurrency, so that it drifted upwards under lasting overload. Every 64th window now runs a quarter of the limit for 8 answers.

--- a/lib/admit/limit.c
+++ b/lib/admit/limit.c
@@ -6,7 +6,8 @@
 {
   START = 1,
   WINDOW = 20,        /* answers, at least, in a window */
-  BASE_INTERVAL = 32, /* windows between two that measure the baseline */
+  BASE_INTERVAL = 64, /* windows between two that measure the baseline */
+  BASE_WINDOW = 8,    /* answers in those */
   BASE_SHARE = 4
 };
 
@@ -19,7 +20,7 @@
 static const double shrink = 0.5;
 /* Rise of the baseline in a window, so that a database that became slower for
    good is learned.  */
-static const double rise = 1.002;
+static const double rise = 1.001;
 static const double service_weight = 0.1;
 
 void
@@ -114,7 +115,8 @@
   l->n++;
   if (running > l->peak)
     l->peak = running;
-  if (l->n >= WINDOW || (l->slow && l->n >= 4 * l->limit))
+  if (l->n >= (measuring (l) ? BASE_WINDOW : WINDOW)
+      || (l->slow && l->n >= 4 * l->limit))
     end_window (l);
 }
 
--- a/test/test_admit.c
+++ b/test/test_admit.c
@@ -136,17 +136,15 @@
 static void
 saturate (admit_t *a, int slots, double service, int n)
 {
-  int running = 0;
-
   for (int i = 0; i < n; i++)
     {
       admit_offer (a, (uint64_t)i, 1, 1 << 30, 0, NULL);
       admit_offer (a, (uint64_t)i, 1, 1 << 30, 0, NULL);
       while (admit_next (a, 0).kind == ADMIT_START)
-        running++;
+        ;
+      int running = admit_state (a).running;
       double over = running > slots ? (double)running / slots : 1;
       admit_done (a, service * over, ADMIT_OK, 0);
-      running--;
     }
 }
 
