--- a/bench/bench_admit.c
+++ b/bench/bench_admit.c
@@ -331,7 +331,7 @@
 int
 main (int argc, char **argv)
 {
-  double time = argc > 1 ? atof (argv[1]) * 1000 : 60000;
+  double time = argc > 1 ? strtod (argv[1], NULL) * 1000 : 60000;
   bool ok = true;
   apr_pool_t *pool;
 
