--- /dev/null
+++ b/cmd/pimentopost/tool.h
@@ -0,0 +1,74 @@
+/* tool - parts of the operator tool.  */
+
+#ifndef TOOL_H
+#define TOOL_H
+
+#include "base.h"
+#include "rpc.h"
+
+#include <argp.h>
+
+enum
+{
+  MAX_SERVERS = 8
+};
+
+typedef struct
+{
+  apr_pool_t *pool;
+  bool json;
+  str_t servers[MAX_SERVERS]; /* control instances, host:port */
+  size_t nservers;
+  msec_t timeout; /* for the whole command */
+  /* Options and arguments of the commands.  */
+  const char *file;
+  const char *settings;
+  const char *data;
+  const char *output;
+  int64_t base; /* -1: not given */
+  const char *id;
+  const char *operator_name;
+  bool wait;
+  const char *subject;
+  int64_t since;
+  int64_t limit;
+  msec_t interval;
+  int64_t count;
+} tool_t;
+
+typedef struct
+{
+  const char *name;
+  const struct argp *argp;
+  bool (*run) (tool_t *t, err_t *e);
+} command_t;
+
+extern const command_t commands[]; /* ends with a NULL name */
+
+bool run_check (tool_t *t, err_t *e);
+bool run_generate (tool_t *t, err_t *e);
+bool run_submit (tool_t *t, err_t *e);
+bool run_status (tool_t *t, err_t *e);
+bool run_watch (tool_t *t, err_t *e);
+bool run_audit (tool_t *t, err_t *e);
+bool run_explain (tool_t *t, err_t *e);
+bool run_config (tool_t *t, err_t *e);
+
+/* tool_servers: adds a comma-separated list of addresses.  */
+bool tool_servers (tool_t *t, str_t list, err_t *e);
+/* call_query: asks the control instances in turn and follows the leader's
+   address until one answers.  NULL with ERR_UNREACHABLE or ERR_TIMEOUT.  */
+query_resp_t *call_query (tool_t *t, const query_t *q, msec_t until, err_t *e);
+/* call_submit: the same for a submission; resends with the same id when an
+   answer was lost.  SENT (out) tells whether it may have arrived although no
+   answer came.  */
+submit_resp_t *call_submit (tool_t *t, const submit_t *s, msec_t until,
+                            bool *sent, err_t *e);
+/* wait_in_force: until VERSION is in force on every reachable instance.  */
+bool wait_in_force (tool_t *t, int64_t version, msec_t until, err_t *e);
+/* sqlstate_text: what a refusal means, or NULL.  */
+const char *sqlstate_text (const char *state);
+/* json_string: S as a JSON string at the end of B.  */
+void json_string (buf_t *b, str_t s);
+
+#endif
--- a/include/conf.h
+++ b/include/conf.h
@@ -154,6 +154,10 @@
 /* conf_file: whole file at PATH; ERR_SYS, ERR_TOO_LARGE over
    CONF_MAX_TEXT.  */
 bool conf_file (apr_pool_t *pool, const char *path, str_t *text, err_t *e);
+/* conf_check: checks TEXT as settings when it has the key `role`, else as a
+   questionnaire; SETTINGS tells which.  */
+bool conf_check (apr_pool_t *pool, const char *file, str_t text,
+                 bool *settings, err_t *e);
 /* conf_duration: "10ms" or "2s" in ms; ERR_BAD_UNIT, ERR_RANGE.  */
 bool conf_duration (str_t s, msec_t *out, err_t *e);
 
--- a/lib/conf/file.c
+++ b/lib/conf/file.c
@@ -1,5 +1,7 @@
 #include "conf.h"
 
+#include "node.h"
+
 #include <errno.h>
 #include <fcntl.h>
 #include <unistd.h>
@@ -33,3 +35,16 @@
   *text = (str_t){ p, n };
   return true;
 }
+
+bool
+conf_check (apr_pool_t *pool, const char *file, str_t text, bool *settings,
+            err_t *e)
+{
+  node_t *n = node_parse (pool, file, text, e);
+
+  if (n == NULL)
+    return false;
+  *settings = node_get (n, "role") != NULL;
+  return *settings ? settings_parse (pool, file, text, e) != NULL
+                   : questionnaire_parse (pool, file, text, e) != NULL;
+}
