Format strings with the C library in str_fmt

apr_pvsprintf does not know "%lld", although the compiler checks str_fmt's formats as printf's: 'pimentopost submit' crashed in derive_id. vsnprintf formats them now; a check in test_base fails without the change.

--- a/lib/base/str.c
+++ b/lib/base/str.c
@@ -1,6 +1,5 @@
 #include "base.h"
 
-#include <apr_strings.h>
 #include <ctype.h>
 #include <errno.h>
 #include <stdio.h>
@@ -31,10 +30,17 @@
 str_fmt (apr_pool_t *pool, const char *fmt, ...)
 {
   va_list ap;
+  va_list again;
 
   va_start (ap, fmt);
-  char *p = apr_pvsprintf (pool, fmt, ap);
+  va_copy (again, ap);
+  int n = vsnprintf (NULL, 0, fmt, ap);
   va_end (ap);
+  char *p = apr_palloc (pool, n > 0 ? (size_t)n + 1 : 1);
+  p[0] = '\0';
+  if (n > 0)
+    vsnprintf (p, (size_t)n + 1, fmt, again);
+  va_end (again);
   return str_of (p);
 }
 
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -34,6 +34,17 @@
 }
 END_TEST
 
+/* Guards against formats that the compiler accepts and the formatter does
+   not: APR's own has no "ll".  */
+START_TEST (format)
+{
+  str_t s = str_fmt (pool, "%lld %s %zu", (long long)INT64_MIN, "x",
+                     (size_t)7);
+
+  ck_assert (str_eq (s, STR ("-9223372036854775808 x 7")));
+}
+END_TEST
+
 /* Guards against a full ring losing or overwriting an item.  */
 START_TEST (ring_refuses_when_full)
 {
@@ -155,6 +166,7 @@
 
   tcase_add_checked_fixture (t, setup, teardown);
   tcase_add_test (t, int_parsing);
+  tcase_add_test (t, format);
   tcase_add_test (t, ring_refuses_when_full);
   tcase_add_test (t, codec_round_trip);
   tcase_add_test (t, codec_refuses_damage);
