--- /dev/null
+++ b/test/test_cli.c
@@ -0,0 +1,329 @@
+/* The operator tool against a scripted control instance.  */
+
+#include "rpc.h"
+
+#include <apr_general.h>
+#include <check.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+enum
+{
+  PORT = 22990,
+  MAX_SEEN = 64
+};
+
+/* What the instance does with one submission.  */
+typedef enum
+{
+  DO_DROP, /* closes the connection without an answer */
+  DO_FOLLOW,
+  DO_UNKNOWN,
+  DO_ACCEPT,
+  DO_CONFLICT,
+  DO_INVALID
+} step_t;
+
+/* A control instance that answers submissions by STEPS in turn (the last one
+   repeats) and queries by STATUS in turn.  */
+typedef struct
+{
+  int fd;
+  int stop[2];
+  pthread_t thread;
+  const step_t *steps;
+  int nsteps;
+  const char *const *status;
+  int nstatus;
+  int submits;
+  int queries;
+  char ids[MAX_SEEN][64];
+  submit_t first;
+  char operator_name[32];
+} fake_t;
+
+static apr_pool_t *pool;
+static char *tool;
+
+static void
+answer_submit (fake_t *f, const submit_t *s, buf_t *out)
+{
+  int i = f->submits < f->nsteps ? f->submits : f->nsteps - 1;
+  submit_resp_t r = { .version = s->base + 1, .by = s->operator_name };
+
+  if (f->submits < MAX_SEEN)
+    snprintf (f->ids[f->submits], sizeof f->ids[0], STR_FMT, STR_ARG (s->id));
+  f->submits++;
+  f->first = *s;
+  snprintf (f->operator_name, sizeof f->operator_name, STR_FMT,
+            STR_ARG (s->operator_name));
+  switch (f->steps[i])
+    {
+    case DO_DROP:
+      return;
+    case DO_FOLLOW:
+      r.status = SUBMIT_NOT_LEADER;
+      r.leader = STR ("127.0.0.1:22991");
+      break;
+    case DO_UNKNOWN:
+      r.status = SUBMIT_UNKNOWN;
+      break;
+    case DO_CONFLICT:
+      r.status = SUBMIT_CONFLICT;
+      r.version = 8;
+      r.by = STR ("linh");
+      break;
+    case DO_INVALID:
+      r.status = SUBMIT_INVALID;
+      r.detail = STR ("too many instances");
+      break;
+    default:
+      r.status = SUBMIT_ACCEPTED;
+    }
+  rpc_encode (out, MSG_SUBMIT_RESP, &r);
+}
+
+static void
+answer_query (fake_t *f, buf_t *out)
+{
+  int i = f->queries < f->nstatus ? f->queries : f->nstatus - 1;
+  query_resp_t r = { .ok = true, .text = str_of (f->status[i]) };
+
+  f->queries++;
+  rpc_encode (out, MSG_QUERY_RESP, &r);
+}
+
+static void
+serve (fake_t *f, int fd)
+{
+  apr_pool_t *p;
+  buf_t b;
+  buf_t out;
+  str_t body;
+  msgtype_t type = 0;
+  void *msg = NULL;
+
+  apr_pool_create (&p, NULL);
+  buf_init (&b);
+  buf_init (&out);
+  while (rpc_frame (&b, &body, NULL) == 0 && rpc_read (fd, &b, NULL) > 0)
+    ;
+  if (rpc_frame (&b, &body, NULL) == 1)
+    msg = rpc_decode (p, body, &type, NULL);
+  if (msg && type == MSG_SUBMIT)
+    answer_submit (f, msg, &out);
+  if (msg && type == MSG_QUERY)
+    answer_query (f, &out);
+  rpc_write (fd, &out, NULL);
+  buf_free (&b);
+  buf_free (&out);
+  apr_pool_destroy (p);
+  close (fd);
+}
+
+static void *
+fake_main (void *arg)
+{
+  fake_t *f = arg;
+  struct pollfd p[2] = { { f->fd, POLLIN, 0 }, { f->stop[0], POLLIN, 0 } };
+
+  while (poll (p, 2, 30000) > 0 && p[1].revents == 0)
+    {
+      int fd = accept (f->fd, NULL, NULL);
+      if (fd >= 0)
+        serve (f, fd);
+    }
+  return NULL;
+}
+
+static void
+fake_start (fake_t *f, int port, const step_t *steps, int n)
+{
+  err_t e = { 0 };
+
+  f->steps = steps;
+  f->nsteps = n;
+  f->fd = rpc_listen (str_fmt (pool, "127.0.0.1:%d", port), &e);
+  ck_assert_msg (f->fd >= 0, "%s", e.detail);
+  ck_assert_int_eq (pipe (f->stop), 0);
+  ck_assert_int_eq (pthread_create (&f->thread, NULL, fake_main, f), 0);
+}
+
+static void
+fake_stop (fake_t *f)
+{
+  ck_assert_int_eq (write (f->stop[1], "x", 1), 1);
+  pthread_join (f->thread, NULL);
+  close (f->fd);
+  close (f->stop[0]);
+  close (f->stop[1]);
+}
+
+/* Runs the tool with ARGS through the shell; returns the exit code, with the
+   output of both streams in OUT.  */
+static int
+run_tool (const char *args, char *out, size_t size)
+{
+  str_t cmd = str_fmt (pool, "%s %s 2>&1", tool, args);
+  FILE *p = popen (cmd.p, "r");
+
+  ck_assert_ptr_nonnull (p);
+  size_t n = fread (out, 1, size - 1, p);
+  out[n] = '\0';
+  int st = pclose (p);
+  return WIFEXITED (st) ? WEXITSTATUS (st) : -1;
+}
+
+static void
+setup (void)
+{
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+}
+
+static void
+teardown (void)
+{
+  apr_pool_destroy (pool);
+}
+
+#define SUBMIT                                                                \
+  "submit --base 7 --operator tan --server 127.0.0.1:22990 --timeout 3s "     \
+  "examples/tan.yaml "
+
+/* Guards against a submission that runs twice under two ids after its answer
+   was lost, and against giving up when a follower was asked.  */
+START_TEST (resends_with_same_id)
+{
+  static const step_t one[] = { DO_DROP, DO_UNKNOWN, DO_FOLLOW };
+  static const step_t two[] = { DO_DROP, DO_ACCEPT };
+  fake_t f = { 0 };
+  fake_t leader = { 0 };
+  char out[2000];
+
+  fake_start (&f, PORT, one, 3);
+  fake_start (&leader, PORT + 1, two, 2);
+  ck_assert_msg (run_tool (SUBMIT, out, sizeof out) == 0, "%s", out);
+  ck_assert_ptr_nonnull (strstr (out, "accepted as version 8"));
+  fake_stop (&f);
+  fake_stop (&leader);
+  ck_assert_int_eq (f.submits, 4);
+  ck_assert_int_eq (leader.submits, 2);
+  for (int i = 0; i < 4; i++)
+    ck_assert_str_eq (f.ids[i], f.ids[0]);
+  ck_assert_str_eq (leader.ids[0], f.ids[0]);
+  ck_assert_str_eq (leader.ids[1], f.ids[0]);
+  ck_assert_str_eq (f.operator_name, "tan");
+  ck_assert_int_eq (f.first.base, 7);
+}
+END_TEST
+
+/* Guards against a lost race or a refusal that looks like success, and
+   against an unknown outcome that looks like a refusal.  */
+START_TEST (outcomes)
+{
+  static const struct
+  {
+    step_t step;
+    int exit;
+    const char *text;
+  } cases[] = { { DO_CONFLICT, 4, "linh won with version 8" },
+                { DO_INVALID, 3, "too many instances" },
+                { DO_DROP, 5, "outcome unknown" },
+                { DO_UNKNOWN, 5, "outcome unknown" },
+                { DO_FOLLOW, 5, "unreachable" } };
+  fake_t f = { 0 };
+  char out[2000];
+  int code;
+
+  fake_start (&f, PORT, &cases[_i].step, 1);
+  code = run_tool (SUBMIT "--timeout 400ms", out, sizeof out);
+  fake_stop (&f);
+  ck_assert_msg (code == cases[_i].exit, "%d: %s", code, out);
+  ck_assert_msg (strstr (out, cases[_i].text) != NULL, "%s", out);
+}
+END_TEST
+
+#define IN(name, reach, version)                                              \
+  "{\"name\": \"" name "\", \"reachable\": " reach ", \"version\": " version  \
+  "}"
+
+/* Guards against --wait ending before every reachable instance has the
+   version, and against waiting for an instance that is cut off.  */
+START_TEST (waits_until_in_force)
+{
+  static const step_t steps[] = { DO_ACCEPT };
+  static const char *const status[] = {
+    "{\"instances\": [" IN ("a", "true", "7") ", " IN ("b", "true", "8") "]}",
+    "{\"instances\": [" IN ("a", "true", "7") ", " IN ("b", "false", "7") "]}",
+    "{\"instances\": [" IN ("a", "true", "8") ", " IN ("b", "false", "7") "]}"
+  };
+  fake_t f = { .status = status, .nstatus = 3 };
+  char out[2000];
+
+  fake_start (&f, PORT, steps, 1);
+  ck_assert_msg (run_tool (SUBMIT "--wait", out, sizeof out) == 0, "%s", out);
+  ck_assert_int_eq (f.queries, 3);
+  f.nstatus = 1;
+  f.queries = 0;
+  ck_assert_int_eq (
+      run_tool (SUBMIT "--wait --timeout 300ms", out, sizeof out), 5);
+  ck_assert_msg (strstr (out, "1 reachable instances are behind") != NULL,
+                 "%s", out);
+  fake_stop (&f);
+}
+END_TEST
+
+/* Guards against watch printing unchanged answers.  */
+START_TEST (watch_prints_changes)
+{
+  static const char *const status[] = { "one", "one", "two" };
+  static const step_t none[] = { DO_DROP };
+  fake_t f = { .status = status, .nstatus = 3 };
+  char out[2000];
+
+  fake_start (&f, PORT, none, 1);
+  ck_assert_int_eq (run_tool ("watch --server 127.0.0.1:22990 --interval 1ms "
+                              "--count 4",
+                              out, sizeof out),
+                    0);
+  fake_stop (&f);
+  ck_assert_str_eq (out, "one\ntwo\n");
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *s = suite_create ("cli");
+  TCase *t = tcase_create ("cli");
+  const char *slash = strrchr (argv[0], '/');
+  SRunner *r;
+
+  (void)argc;
+  setup ();
+  tool = str_fmt (pool, "%.*s/../bin/pimentopost",
+                  slash ? (int)(slash - argv[0]) : 1, slash ? argv[0] : ".")
+             .p;
+  tool = strdup (tool);
+  teardown ();
+  tcase_add_checked_fixture (t, setup, teardown);
+  tcase_set_timeout (t, 30);
+  tcase_add_test (t, resends_with_same_id);
+  tcase_add_loop_test (t, outcomes, 0, 5);
+  tcase_add_test (t, waits_until_in_force);
+  tcase_add_test (t, watch_prints_changes);
+  suite_add_tcase (s, t);
+  r = srunner_create (s);
+  srunner_run_all (r, CK_ENV);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  free (tool);
+  return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
