--- a/test/test_base.c
+++ b/test/test_base.c
@@ -38,8 +38,8 @@
    not: APR's own has no "ll".  */
 START_TEST (format)
 {
-  str_t s = str_fmt (pool, "%lld %s %zu", (long long)INT64_MIN, "x",
-                     (size_t)7);
+  str_t s
+      = str_fmt (pool, "%lld %s %zu", (long long)INT64_MIN, "x", (size_t)7);
 
   ck_assert (str_eq (s, STR ("-9223372036854775808 x 7")));
 }
