--- a/cmd/pimentopost/call.c
+++ b/cmd/pimentopost/call.c
@@ -40,8 +40,9 @@
   msec_t until;
   size_t at;
   str_t leader;
-  bool sent; /* an attempt may have arrived without an answer */
-  err_t err; /* of the last attempt */
+  str_t asked; /* by the last attempt */
+  bool sent;   /* an attempt may have arrived without an answer */
+  err_t err;   /* of the last attempt */
 } call_t;
 
 static str_t
@@ -68,7 +69,7 @@
       msec_t left = c->until - msec_now ();
       if (left <= 0)
         return NULL;
-      str_t a = pick (c);
+      str_t a = c->asked = pick (c);
       void *r = rpc_call (c->t->pool, a, c->type, c->msg,
                           left < ATTEMPT ? left : ATTEMPT, &got, &c->err);
       if (r && got == c->want)
@@ -106,6 +107,24 @@
              c->err.code ? c->err.detail : "no leader");
 }
 
+/* The same query to the leader that the answer R names, or R when the leader
+   does not answer in time.  */
+static query_resp_t *
+ask_leader (call_t *c, query_resp_t *r)
+{
+  msgtype_t got = 0;
+  err_t e = { 0 };
+  msec_t left = c->until - msec_now ();
+  query_resp_t *better;
+
+  if (c->t->local || r->leader.n == 0 || str_eq (r->leader, c->asked)
+      || left <= 0)
+    return r;
+  better = rpc_call (c->t->pool, r->leader, c->type, c->msg,
+                     left < ATTEMPT ? left : ATTEMPT, &got, &e);
+  return better && got == c->want ? better : r;
+}
+
 query_resp_t *
 call_query (tool_t *t, const query_t *q, msec_t until, err_t *e)
 {
@@ -116,12 +135,9 @@
 
   if (!ready (t, e))
     return NULL;
-  while ((r = attempt (&c)) != NULL)
-    {
-      if (r->ok || r->leader.n == 0)
-        return r;
-      c.leader = r->leader;
-    }
+  r = attempt (&c);
+  if (r)
+    return ask_leader (&c, r);
   unanswered (&c, e);
   return NULL;
 }
--- a/cmd/pimentopost/options.c
+++ b/cmd/pimentopost/options.c
@@ -17,7 +17,8 @@
   OPT_INTERVAL,
   OPT_COUNT,
   OPT_TIMEOUT,
-  OPT_JSON
+  OPT_JSON,
+  OPT_LOCAL
 };
 
 static const struct argp_option common[] = {
@@ -33,6 +34,13 @@
   { 0 },
 };
 
+static const struct argp_option local[] = {
+  { "local", OPT_LOCAL, 0, 0,
+    "Print the view of the instance that answers first, not of the leader",
+    8 },
+  { 0 },
+};
+
 static const struct argp_option generate[] = {
   { "output", 'o', "FILE", 0, "Write the configuration to FILE", 0 },
   { "settings", OPT_SETTINGS, "DIR", 0,
@@ -170,6 +178,9 @@
     case OPT_OPERATOR:
       t->operator_name = arg;
       return 0;
+    case OPT_LOCAL:
+      t->local = true;
+      return 0;
     case OPT_WAIT:
       t->wait = true;
       return 0;
@@ -178,6 +189,20 @@
     }
 }
 
+/* Commands that may have a subject.  */
+static error_t
+parse_subject (int key, char *arg, struct argp_state *state)
+{
+  tool_t *t = state->input;
+
+  if (key == ARGP_KEY_ARG && state->arg_num == 0)
+    {
+      t->subject = arg;
+      return 0;
+    }
+  return parse_option (key, arg, state);
+}
+
 /* Commands with one argument.  */
 static error_t
 parse_one (int key, char *arg, struct argp_state *state)
@@ -198,6 +223,10 @@
     = { .options = common, .parser = parse_option };
 static const struct argp remote_argp
     = { .options = remote, .parser = parse_option };
+static const struct argp local_argp
+    = { .options = local, .parser = parse_option };
+static const struct argp_child query_children[]
+    = { { &local_argp }, { &remote_argp }, { &common_argp }, { 0 } };
 static const struct argp_child local_children[] = { { &common_argp }, { 0 } };
 static const struct argp_child remote_children[]
     = { { &remote_argp }, { &common_argp }, { 0 } };
@@ -217,22 +246,25 @@
         remote_children };
 static const struct argp status_argp
     = { NULL, parse_option, NULL, "Print instances, groups and databases.",
-        remote_children };
+        query_children };
 static const struct argp config_argp
     = { NULL, parse_option, NULL,
         "Print the configuration in force; it can be edited and submitted.",
-        remote_children };
+        query_children };
 static const struct argp watch_argp
     = { watch, parse_option, NULL, "Print the status whenever it changes.",
-        remote_children };
-static const struct argp audit_argp
-    = { audit, parse_option, NULL, "Print audit records, oldest first.",
-        remote_children };
+        query_children };
+static const struct argp audit_argp = {
+  audit, parse_subject, "[SUBJECT]",
+  "Print audit records, oldest first; with SUBJECT those that concern an "
+  "instance, group, database, submission, operator or kind of record.",
+  query_children
+};
 static const struct argp explain_argp
     = { NULL, parse_one, "SUBJECT",
         "Explain the state of an instance, group, database or submission, or "
         "what an SQLSTATE means.",
-        remote_children };
+        query_children };
 
 const command_t commands[] = {
   { "check", &check_argp, run_check },
--- a/cmd/pimentopost/query.c
+++ b/cmd/pimentopost/query.c
@@ -58,7 +58,7 @@
 bool
 run_audit (tool_t *t, err_t *e)
 {
-  return print_query (t, "audit", (str_t){ 0 }, e);
+  return print_query (t, "audit", str_of (t->subject), e);
 }
 
 bool
--- a/cmd/pimentopost/submit.c
+++ b/cmd/pimentopost/submit.c
@@ -120,5 +120,5 @@
   print_outcome (t, &s, r);
   if (r->status != SUBMIT_ACCEPTED)
     return outcome_error (&s, r, e);
-  return !t->wait || wait_in_force (t, r->version, until, e);
+  return !t->wait || wait_in_force (t, r->index, until, e);
 }
--- a/cmd/pimentopost/tool.h
+++ b/cmd/pimentopost/tool.h
@@ -17,6 +17,7 @@
 {
   apr_pool_t *pool;
   bool json;
+  bool local; /* the view of the instance asked, not of the leader */
   str_t servers[MAX_SERVERS]; /* control instances, host:port */
   size_t nservers;
   msec_t timeout; /* for the whole command */
@@ -56,16 +57,18 @@
 
 /* tool_servers: adds a comma-separated list of addresses.  */
 bool tool_servers (tool_t *t, str_t list, err_t *e);
-/* call_query: asks the control instances in turn and follows the leader's
-   address until one answers.  NULL with ERR_UNREACHABLE or ERR_TIMEOUT.  */
+/* call_query: asks the control instances in turn until one answers, then the
+   leader that it names, whose answer is preferred.  NULL with
+   ERR_UNREACHABLE.  */
 query_resp_t *call_query (tool_t *t, const query_t *q, msec_t until, err_t *e);
-/* call_submit: the same for a submission; resends with the same id when an
-   answer was lost.  SENT (out) tells whether it may have arrived although no
-   answer came.  */
+/* call_submit: a submission; follows the leader's address and resends with the
+   same id when an answer was lost.  SENT (out) tells whether it may have
+   arrived although no answer came.  */
 submit_resp_t *call_submit (tool_t *t, const submit_t *s, msec_t until,
                             bool *sent, err_t *e);
-/* wait_in_force: until VERSION is in force on every reachable instance.  */
-bool wait_in_force (tool_t *t, int64_t version, msec_t until, err_t *e);
+/* wait_in_force: until the configuration at INDEX of the log, or a later one,
+   is in force on every reachable entry instance.  */
+bool wait_in_force (tool_t *t, int64_t index, msec_t until, err_t *e);
 /* sqlstate_text: what a refusal means, or NULL.  */
 const char *sqlstate_text (const char *state);
 /* json_string: S as a JSON string at the end of B.  */
--- a/cmd/pimentopost/wait.c
+++ b/cmd/pimentopost/wait.c
@@ -38,37 +38,39 @@
 }
 
 static bool
-is_true (yaml_document_t *d, const yaml_node_t *map, const char *key)
+is (yaml_document_t *d, const yaml_node_t *map, const char *key,
+    const char *value)
 {
   const yaml_node_t *n = get (d, map, key);
 
   return n && n->type == YAML_SCALAR_NODE
-         && strcmp ((const char *)n->data.scalar.value, "true") == 0;
+         && strcmp ((const char *)n->data.scalar.value, value) == 0;
 }
 
-/* Reachable instances that are behind VERSION; -1 when the answer has no
-   list of instances.  */
+/* Entry instances that are up and behind INDEX; -1 when the answer is not
+   that of a leader, who alone hears from the entry instances.  */
 static int
-behind (yaml_document_t *d, int64_t version)
+behind (yaml_document_t *d, int64_t index)
 {
-  const yaml_node_t *root = yaml_document_get_root_node (d);
-  const yaml_node_t *list = get (d, root, "instances");
+  const yaml_node_t *rows = yaml_document_get_root_node (d);
+  bool leader = false;
   int n = 0;
 
-  if (list == NULL || list->type != YAML_SEQUENCE_NODE)
+  if (rows == NULL || rows->type != YAML_SEQUENCE_NODE)
     return -1;
-  for (yaml_node_item_t *i = list->data.sequence.items.start;
-       i < list->data.sequence.items.top; i++)
+  for (yaml_node_item_t *i = rows->data.sequence.items.start;
+       i < rows->data.sequence.items.top; i++)
     {
-      const yaml_node_t *in = yaml_document_get_node (d, *i);
-      n += is_true (d, in, "reachable")
-           && get_int (d, in, "version") < version;
+      const yaml_node_t *row = yaml_document_get_node (d, *i);
+      leader = leader || is (d, row, "role", "leader");
+      n += get (d, row, "entry") && is (d, row, "state", "up")
+           && get_int (d, row, "config_index") < index;
     }
-  return n;
+  return leader ? n : -1;
 }
 
 static int
-count_behind (str_t json, int64_t version)
+count_behind (str_t json, int64_t index)
 {
   yaml_parser_t p;
   yaml_document_t d;
@@ -80,7 +82,7 @@
       &p, (const unsigned char *)(json.p ? json.p : ""), json.n);
   if (yaml_parser_load (&p, &d))
     {
-      n = behind (&d, version);
+      n = behind (&d, index);
       yaml_document_delete (&d);
     }
   yaml_parser_delete (&p);
@@ -88,7 +90,7 @@
 }
 
 bool
-wait_in_force (tool_t *t, int64_t version, msec_t until, err_t *e)
+wait_in_force (tool_t *t, int64_t index, msec_t until, err_t *e)
 {
   query_t q = { .what = STR ("status"), .json = true };
   int n = -1;
@@ -98,13 +100,13 @@
       query_resp_t *r = call_query (t, &q, until, e);
       if (r == NULL)
         return false;
-      n = r->ok ? count_behind (r->text, version) : -1;
+      n = r->ok ? count_behind (r->text, index) : -1;
       if (n == 0)
         return true;
       msec_sleep (POLL);
     }
   return err_set (e, ERR_TIMEOUT, "submission",
-                  n < 0 ? "accepted, but the status lists no instances"
-                        : "accepted, but %d reachable instances are behind",
+                  n < 0 ? "accepted, but no leader tells who has it"
+                        : "accepted, but %d entry instances are behind",
                   n);
 }
--- a/test/test_cli.c
+++ b/test/test_cli.c
@@ -41,6 +41,7 @@
   int nsteps;
   const char *const *status;
   int nstatus;
+  const char *leader; /* named in answers to queries */
   int submits;
   int queries;
   char ids[MAX_SEEN][64];
@@ -55,7 +56,8 @@
 answer_submit (fake_t *f, const submit_t *s, buf_t *out)
 {
   int i = f->submits < f->nsteps ? f->submits : f->nsteps - 1;
-  submit_resp_t r = { .version = s->base + 1, .by = s->operator_name };
+  submit_resp_t r
+      = { .version = s->base + 1, .index = 41, .by = s->operator_name };
 
   if (f->submits < MAX_SEEN)
     snprintf (f->ids[f->submits], sizeof f->ids[0], STR_FMT, STR_ARG (s->id));
@@ -93,7 +95,9 @@
 answer_query (fake_t *f, buf_t *out)
 {
   int i = f->queries < f->nstatus ? f->queries : f->nstatus - 1;
-  query_resp_t r = { .ok = true, .text = str_of (f->status[i]) };
+  query_resp_t r = { .ok = true,
+                     .text = str_of (f->status[i]),
+                     .leader = str_of (f->leader) };
 
   f->queries++;
   rpc_encode (out, MSG_QUERY_RESP, &r);
@@ -250,32 +254,57 @@
 }
 END_TEST
 
-#define IN(name, reach, version)                                              \
-  "{\"name\": \"" name "\", \"reachable\": " reach ", \"version\": " version  \
-  "}"
+#define HEAD "[\n{\"instance\":\"c\",\"role\":\"leader\"}"
+#define ENTRY(name, state, index)                                             \
+  ",\n{\"entry\":\"" name "\",\"state\":\"" state                             \
+  "\",\"config_index\":" index "}"
 
 /* Guards against --wait ending before every reachable instance has the
    version, and against waiting for an instance that is cut off.  */
 START_TEST (waits_until_in_force)
 {
   static const step_t steps[] = { DO_ACCEPT };
-  static const char *const status[] = {
-    "{\"instances\": [" IN ("a", "true", "7") ", " IN ("b", "true", "8") "]}",
-    "{\"instances\": [" IN ("a", "true", "7") ", " IN ("b", "false", "7") "]}",
-    "{\"instances\": [" IN ("a", "true", "8") ", " IN ("b", "false", "7") "]}"
-  };
-  fake_t f = { .status = status, .nstatus = 3 };
+  static const char *const status[]
+      = { "[\n{\"instance\":\"c\",\"role\":\"follower\"}\n]\n",
+          HEAD ENTRY ("a", "up", "40") ENTRY ("b", "up", "41") "\n]\n",
+          HEAD ENTRY ("a", "up", "40") ENTRY ("b", "down", "40") "\n]\n",
+          HEAD ENTRY ("a", "up", "41") ENTRY ("b", "down", "40") "\n]\n" };
+  fake_t f = { .status = status, .nstatus = 4 };
   char out[2000];
 
   fake_start (&f, PORT, steps, 1);
   ck_assert_msg (run_tool (SUBMIT "--wait", out, sizeof out) == 0, "%s", out);
-  ck_assert_int_eq (f.queries, 3);
-  f.nstatus = 1;
+  ck_assert_int_eq (f.queries, 4);
+  f.nstatus = 3;
   f.queries = 0;
   ck_assert_int_eq (
       run_tool (SUBMIT "--wait --timeout 300ms", out, sizeof out), 5);
-  ck_assert_msg (strstr (out, "1 reachable instances are behind") != NULL,
-                 "%s", out);
+  ck_assert_msg (strstr (out, "1 entry instances are behind") != NULL, "%s",
+                 out);
+  fake_stop (&f);
+}
+END_TEST
+
+/* Guards against the stale view of a follower being shown although the leader
+   answers, and against no view at all when the leader does not.  */
+START_TEST (prefers_leader)
+{
+  static const char *const mine[] = { "follower's" };
+  static const char *const theirs[] = { "leader's" };
+  static const step_t none[] = { DO_DROP };
+  fake_t f = { .status = mine, .nstatus = 1, .leader = "127.0.0.1:22991" };
+  fake_t leader = { .status = theirs, .nstatus = 1 };
+  char out[2000];
+
+  fake_start (&f, PORT, none, 1);
+  fake_start (&leader, PORT + 1, none, 1);
+  run_tool ("status -s 127.0.0.1:22990", out, sizeof out);
+  ck_assert_str_eq (out, "leader's\n");
+  run_tool ("status -s 127.0.0.1:22990 --local", out, sizeof out);
+  ck_assert_str_eq (out, "follower's\n");
+  fake_stop (&leader);
+  run_tool ("status -s 127.0.0.1:22990", out, sizeof out);
+  ck_assert_str_eq (out, "follower's\n");
   fake_stop (&f);
 }
 END_TEST
@@ -318,6 +347,7 @@
   tcase_add_test (t, resends_with_same_id);
   tcase_add_loop_test (t, outcomes, 0, 5);
   tcase_add_test (t, waits_until_in_force);
+  tcase_add_test (t, prefers_leader);
   tcase_add_test (t, watch_prints_changes);
   suite_add_tcase (s, t);
   r = srunner_create (s);
