--- /dev/null
+++ b/lib/entry/pool.c
@@ -0,0 +1,150 @@
+#include "entry.h"
+
+enum
+{
+  RETRY_FIRST = 50, /* ms until a new attempt after a failed connection */
+  RETRY_MAX = 2000  /* ms */
+};
+
+void
+pool_init (pool_t *p)
+{
+  *p = (pool_t){ 0 };
+}
+
+void
+pool_limit (pool_t *p, int limit)
+{
+  p->limit = limit < 0 ? 0 : limit > POOL_MAX ? POOL_MAX : limit;
+}
+
+static void
+set_state (pool_t *p, int slot, slot_state_t state, msec_t now)
+{
+  pool_slot_t *s = &p->slot[slot];
+
+  p->busy += (state == SLOT_BUSY) - (s->state == SLOT_BUSY);
+  p->connecting += (state == SLOT_CONNECTING) - (s->state == SLOT_CONNECTING);
+  p->open += (state != SLOT_FREE) - (s->state != SLOT_FREE);
+  s->state = state;
+  s->owner = 0;
+  s->since = now;
+}
+
+static void
+push_idle (pool_t *p, int slot, msec_t now)
+{
+  set_state (p, slot, SLOT_IDLE, now);
+  p->idles[p->nidle++] = (int16_t)slot;
+  p->idle = p->nidle;
+}
+
+static void
+drop_idle (pool_t *p, int at)
+{
+  for (int i = at; i + 1 < p->nidle; i++)
+    p->idles[i] = p->idles[i + 1];
+  p->idle = --p->nidle;
+}
+
+int
+pool_take (pool_t *p, uint64_t owner, msec_t now)
+{
+  if (p->nidle == 0 || owner == 0)
+    return -1;
+  int slot = p->idles[p->nidle - 1];
+  drop_idle (p, p->nidle - 1);
+  set_state (p, slot, SLOT_BUSY, now);
+  p->slot[slot].owner = owner;
+  return slot;
+}
+
+int
+pool_open (pool_t *p, msec_t now)
+{
+  if (p->open >= p->limit || now < p->retry)
+    return -1;
+  for (int i = 0; i < POOL_MAX; i++)
+    if (p->slot[i].state == SLOT_FREE)
+      {
+        set_state (p, i, SLOT_CONNECTING, now);
+        return i;
+      }
+  return -1;
+}
+
+/* A connection over the limit is closed instead of becoming idle.  */
+static pool_after_t
+keep_idle (pool_t *p, int slot, msec_t now)
+{
+  if (p->open > p->limit)
+    return POOL_CLOSE;
+  push_idle (p, slot, now);
+  return POOL_KEEP;
+}
+
+pool_after_t
+pool_connected (pool_t *p, int slot, msec_t now)
+{
+  p->wait = p->retry = 0;
+  return keep_idle (p, slot, now);
+}
+
+void
+pool_failed (pool_t *p, int slot, msec_t now)
+{
+  pool_closed (p, slot);
+  p->wait = p->wait ? p->wait * 2 : RETRY_FIRST;
+  if (p->wait > RETRY_MAX)
+    p->wait = RETRY_MAX;
+  p->retry = now + p->wait;
+}
+
+pool_after_t
+pool_release (pool_t *p, int slot, uint64_t owner, char ready, bool touched,
+              bool doubt, msec_t now)
+{
+  pool_slot_t *s = &p->slot[slot];
+
+  if (s->state != SLOT_BUSY || s->owner != owner || doubt || ready != 'I')
+    return POOL_CLOSE;
+  if (!touched)
+    return keep_idle (p, slot, now);
+  set_state (p, slot, SLOT_RESETTING, now);
+  return POOL_RESET;
+}
+
+pool_after_t
+pool_reset (pool_t *p, int slot, char ready, bool ok, msec_t now)
+{
+  if (p->slot[slot].state != SLOT_RESETTING || ready != 'I' || !ok)
+    return POOL_CLOSE;
+  return keep_idle (p, slot, now);
+}
+
+void
+pool_closed (pool_t *p, int slot)
+{
+  for (int i = 0; i < p->nidle; i++)
+    if (p->idles[i] == slot)
+      {
+        drop_idle (p, i);
+        break;
+      }
+  set_state (p, slot, SLOT_FREE, 0);
+}
+
+int
+pool_surplus (pool_t *p, int warm, msec_t keep, msec_t now)
+{
+  if (p->nidle == 0)
+    return -1;
+  /* The least recently used stands first.  */
+  int slot = p->idles[0];
+  bool old = now - p->slot[slot].since > keep && p->open > warm;
+  if (p->open <= p->limit && !old)
+    return -1;
+  drop_idle (p, 0);
+  set_state (p, slot, SLOT_RESETTING, now);
+  return slot;
+}
