--- a/include/entry.h
+++ b/include/entry.h
@@ -132,6 +132,7 @@
   char type; /* '1' '2' '3' 'T' (Describe) 'E' (Execute) */
   bool own;  /* the proxy's own message: its answer is dropped */
   bool made; /* the proxy gives this answer itself */
+  void *tag; /* of the caller */
 } xop_t;
 
 typedef struct
@@ -160,6 +161,7 @@
   const xop_t *ops;
   int nops;
   int op;
+  int failed_op; /* the operation that failed */
 } xchg_t;
 
 /* Outside world of an exchange.  */
@@ -249,6 +251,9 @@
 void pool_limit (pool_t *p, int limit);
 /* pool_take: an idle connection becomes OWNER's (not 0); its slot or -1.  */
 int pool_take (pool_t *p, uint64_t owner, msec_t now);
+/* pool_take_old: the same for the connection that was idle longest, if that is
+   more than AGE ms.  */
+int pool_take_old (pool_t *p, uint64_t owner, msec_t age, msec_t now);
 /* pool_open: a slot to connect in, or -1 at the limit and during the wait
    after a failure.  */
 int pool_open (pool_t *p, msec_t now);
--- /dev/null
+++ b/lib/entry/conn.c
@@ -0,0 +1,590 @@
+#include "worker.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+/* ---- life ---- */
+
+static PGconn *
+start_connecting (const dbpool_t *d)
+{
+  char host[64];
+  char group[CONF_MAX_NAME + 1];
+  const char *colon = memrchr (d->address.p, ':', d->address.n);
+
+  if (colon == NULL || d->address.n >= sizeof host)
+    return NULL;
+  snprintf (host, sizeof host, STR_FMT, STR_ARG (d->address));
+  char *port = host + (colon - d->address.p);
+  *port++ = '\0';
+  snprintf (group, sizeof group, STR_FMT, STR_ARG (d->group));
+  const char *const names[] = { "hostaddr",
+                                "port",
+                                "user",
+                                "dbname",
+                                "sslmode",
+                                "gssencmode",
+                                "keepalives_idle",
+                                "keepalives_interval",
+                                "keepalives_count",
+                                "tcp_user_timeout",
+                                NULL };
+  const char *const values[]
+      = { host, port, "pimentopost", group,  "disable", "disable",
+          "5",  "1",  "3",           "5000", NULL };
+  return PQconnectStartParams (names, values, 0);
+}
+
+conn_t *
+conn_open (dbpool_t *d, int slot)
+{
+  worker_t *w = d->w;
+  conn_t *c = calloc (1, sizeof *c);
+
+  if (c == NULL)
+    abort ();
+  c->w = w;
+  c->db = d;
+  c->slot = slot;
+  c->state = C_CONNECT;
+  c->since = w->now;
+  c->pg = start_connecting (d);
+  c->io = (io_t){ .fd = -1, .kind = IO_CONN };
+  d->conn[slot] = c;
+  if (c->pg == NULL || PQstatus (c->pg) == CONNECTION_BAD)
+    {
+      conn_close (c);
+      return NULL;
+    }
+  c->io.fd = PQsocket (c->pg);
+  io_watch (w, &c->io, EPOLLOUT);
+  return c;
+}
+
+static void
+unlink_dirty (conn_t *c)
+{
+  for (conn_t **at = &c->w->dirty_conns; *at; at = &(*at)->dirty_next)
+    if (*at == c)
+      {
+        *at = c->dirty_next;
+        return;
+      }
+}
+
+/* The caller has dealt with the request or session that C serves.  */
+void
+conn_close (conn_t *c)
+{
+  dbpool_t *d = c->db;
+
+  if (c->dead)
+    return;
+  c->dead = true;
+  if (c->dirty)
+    unlink_dirty (c);
+  if (c->admitted)
+    admit_done (d->admit, 0, ADMIT_VOID, c->w->now);
+  c->admitted = false;
+  if (c->state == C_CONNECT)
+    pool_failed (&d->pool, c->slot, c->w->now);
+  else
+    pool_closed (&d->pool, c->slot);
+  d->conn[c->slot] = NULL;
+  c->state = C_DEAD;
+  if (c->pg)
+    PQfinish (c->pg); /* closes the socket, which leaves epoll */
+  c->pg = NULL;
+  buf_free (&c->in);
+  buf_free (&c->out);
+  c->dirty_next = c->w->dead_conns;
+  c->w->dead_conns = c;
+}
+
+void
+conn_bury (worker_t *w)
+{
+  while (w->dead_conns)
+    {
+      conn_t *c = w->dead_conns;
+      w->dead_conns = c->dirty_next;
+      free (c);
+    }
+}
+
+void
+conn_dirty (conn_t *c)
+{
+  if (c->dirty || c->dead)
+    return;
+  c->dirty = true;
+  c->dirty_next = c->w->dirty_conns;
+  c->w->dirty_conns = c;
+}
+
+static void
+watch (conn_t *c)
+{
+  io_watch (c->w, &c->io,
+            (c->paused ? 0 : EPOLLIN) | (buf_len (&c->out) ? EPOLLOUT : 0));
+}
+
+void
+conn_pause (conn_t *c)
+{
+  c->paused = true;
+  watch (c);
+}
+
+void
+conn_resume (conn_t *c)
+{
+  c->paused = false;
+  watch (c);
+}
+
+void
+conn_cancel (conn_t *c)
+{
+  PGcancel *k = c->pg ? PQgetCancel (c->pg) : NULL;
+
+  /* A late cancel can hit whatever runs there next, so that the connection
+     is not used for anybody else.  */
+  c->doubt = true;
+  if (k && !ring_put (c->w->in->cancels, k, NULL))
+    PQfreeCancel (k);
+}
+
+/* ---- the proxy's own queries ---- */
+
+static void
+own_query (conn_t *c, conn_state_t state, str_t text)
+{
+  c->state = (uint8_t)state;
+  c->since = c->w->now;
+  c->due++;
+  pg_put_query (&c->out, text);
+  conn_dirty (c);
+}
+
+void
+conn_status (conn_t *c, req_t *r)
+{
+  c->req = r;
+  own_query (c, C_STATUS, STR ("SELECT * FROM pimentopost_status()"));
+}
+
+static void
+became_idle (conn_t *c, pool_after_t after)
+{
+  if (after == POOL_CLOSE)
+    {
+      dbpool_t *d = c->db;
+      conn_close (c);
+      dbpool_admit (d);
+      return;
+    }
+  c->state = C_IDLE;
+  c->since = c->w->now;
+  c->owner = 0;
+  dbpool_admit (c->db);
+}
+
+void
+conn_release (conn_t *c)
+{
+  dbpool_t *d = c->db;
+
+  if (c->dead)
+    return;
+  if (c->admitted)
+    admit_done (d->admit, 0, ADMIT_VOID, c->w->now);
+  c->admitted = c->ended = false;
+  c->session = NULL;
+  c->req = NULL;
+  char ready = c->due == 0 && buf_len (&c->in) == 0 ? c->ready : 0;
+  pool_after_t after = pool_release (&d->pool, c->slot, c->owner, ready,
+                                     c->touched, c->doubt, c->w->now);
+  if (after != POOL_RESET)
+    {
+      became_idle (c, after);
+      return;
+    }
+  c->reset_ok = true;
+  memset (&c->prepared, 0, sizeof c->prepared);
+  c->unnamed[0] = c->unnamed[1] = 0;
+  own_query (c, C_RESET, STR ("DISCARD ALL"));
+  dbpool_admit (d);
+}
+
+static void
+reset_message (conn_t *c, const pgmsg_t *m)
+{
+  if (m->type == 'E')
+    c->reset_ok = false;
+  if (m->type == 'Z')
+    c->ended = true;
+}
+
+static void
+reset_done (conn_t *c)
+{
+  bool ok = c->reset_ok && !c->doubt;
+
+  c->touched = false;
+  became_idle (c, pool_reset (&c->db->pool, c->slot, c->ready, ok, c->w->now));
+}
+
+static void
+status_row (conn_t *c, str_t body)
+{
+  worker_t *w = c->w;
+  dbpool_t *d = c->db;
+  str_t col[10] = { 0 };
+
+  if (pg_row (body, col, 10) < 7 || !str_int (col[0], &d->term)
+      || !str_int (col[2], &d->pos))
+    return;
+  d->primary = str_eq (col[1], STR ("primary"));
+  d->ok = msec_now ();
+  if (!d->primary)
+    view_applied (w->view, d->name, d->term, d->pos, c->since, w->now);
+  else if (view_lease (w->view, d->group, d->term, d->ok))
+    view_sample (w->view, d->group, d->term, d->pos, c->since);
+}
+
+static void
+status_message (conn_t *c, const pgmsg_t *m)
+{
+  req_t *r = c->req;
+
+  if (m->type == 'D')
+    status_row (c, m->body);
+  else if (m->type == 'Z')
+    {
+      if (r)
+        {
+          group_state_t *g = r->group;
+          c->req = NULL;
+          request_free (r);
+          barrier_done (g, c->w);
+        }
+      c->ended = true;
+    }
+}
+
+/* ---- connecting ---- */
+
+static void
+connected (conn_t *c)
+{
+  dbpool_t *d = c->db;
+
+  c->ready = 'I';
+  PQsetnonblocking (c->pg, 1);
+  io_watch (c->w, &c->io, EPOLLIN);
+  d->ok = c->w->now;
+  if (c->probe)
+    view_ok (c->w->view, d->name, 0, c->w->now);
+  became_idle (c, pool_connected (&d->pool, c->slot, c->w->now));
+}
+
+static void
+watch_libpq (conn_t *c, uint32_t events)
+{
+  if (c->io.fd != PQsocket (c->pg))
+    {
+      c->io.fd = PQsocket (c->pg);
+      c->io.events = 0;
+    }
+  io_watch (c->w, &c->io, events);
+}
+
+static void
+go_on_connecting (conn_t *c)
+{
+  dbpool_t *d = c->db;
+
+  switch (PQconnectPoll (c->pg))
+    {
+    case PGRES_POLLING_READING:
+      watch_libpq (c, EPOLLIN);
+      break;
+    case PGRES_POLLING_WRITING:
+      watch_libpq (c, EPOLLOUT);
+      break;
+    case PGRES_POLLING_OK:
+      connected (c);
+      break;
+    default:
+      log_event (EV_CONNECT_FAILED, "database=" STR_FMT " address=" STR_FMT,
+                 STR_ARG (d->name), STR_ARG (d->address));
+      conn_close (c);
+      dbpool_failed (d);
+    }
+}
+
+/* ---- output ---- */
+
+void
+conn_flush (conn_t *c)
+{
+  size_t before = buf_len (&c->out);
+  long left = rpc_write (c->io.fd, &c->out, NULL);
+
+  if (c->state == C_RUN && c->req && buf_len (&c->out) < before)
+    xchg_sent (&c->req->x);
+  /* A write error shows as a read error or end of file as well, behind what
+     the database may have said before.  */
+  if (left < 0)
+    c->out.n = c->out.off = 0;
+  if (left == 0 && c->out.cap > SCRATCH)
+    buf_free (&c->out);
+  watch (c);
+}
+
+/* ---- input ---- */
+
+static bool
+lease_held (void *arg)
+{
+  req_t *r = arg;
+
+  /* The clock is read anew: the process may have been stopped since the
+     events of this round were taken.  */
+  return view_lease (r->w->view, r->group->name, r->x.plan.term, msec_now ());
+}
+
+static void
+own_row (void *arg, seg_t seg, const str_t *col, int n)
+{
+  req_t *r = arg;
+  worker_t *w = r->w;
+  str_t db = r->conn->db->name;
+
+  if (seg == SEG_OUTCOME && n > 0)
+    {
+      r->outcome.n = r->outcome.off = 0;
+      buf_adds (&r->outcome, col[0]);
+    }
+  else if (seg == SEG_CHECK)
+    view_applied (w->view, db, r->x.token.term, r->x.token.pos, r->asked,
+                  w->now);
+  else if (seg == SEG_CONFIRM
+           && view_lease (w->view, r->group->name, r->x.token.term, w->now))
+    view_sample (w->view, r->group->name, r->x.token.term, r->x.token.pos,
+                 r->asked);
+}
+
+static void
+put_answer (req_t *r, xact_t act, str_t raw)
+{
+  session_t *s = r->s;
+
+  if (act == X_DROP || s->gone)
+    return;
+  if (act == X_HOLD)
+    {
+      buf_adds (&r->hold, raw);
+      return;
+    }
+  if (buf_len (&r->hold))
+    {
+      buf_adds (&s->out, buf_str (&r->hold));
+      r->hold.n = r->hold.off = 0;
+    }
+  buf_adds (&s->out, raw);
+  session_dirty (s);
+}
+
+static void
+exchange_message (conn_t *c, const pgmsg_t *m, str_t raw)
+{
+  req_t *r = c->req;
+  xworld_t world = { lease_held, own_row, r };
+  xverdict_t v;
+  xact_t act;
+  char made;
+
+  r->progress = c->w->now;
+  while ((made = xchg_made (&r->x, &world, &act)) != 0)
+    {
+      char msg[5] = { made, 0, 0, 0, 4 };
+      put_answer (r, act, (str_t){ msg, sizeof msg });
+    }
+  bool failed = r->x.failed;
+  act = xchg_message (&r->x, m, &world, &v);
+  if (r->x.failed && !failed && r->extended)
+    batch_failed (r, c);
+  put_answer (r, act, raw);
+  request_verdict (r, v);
+}
+
+/* What a database may send without being asked.  */
+static bool
+asynchronous (char type)
+{
+  return type == 'N' || type == 'S' || type == 'A';
+}
+
+static void
+lose (conn_t *c)
+{
+  worker_t *w = c->w;
+  dbpool_t *d = c->db;
+  session_t *s = c->session;
+  req_t *r = c->req;
+  bool used = c->state != C_IDLE;
+
+  c->doubt = true;
+  if (c->state == C_RUN && r)
+    {
+      request_lost (r);
+      if (!c->dead)
+        conn_close (c);
+    }
+  else
+    {
+      if (s)
+        {
+          s->conn = NULL;
+          s->block_lost = true;
+          s->block = BLOCK_FAILED;
+        }
+      conn_close (c);
+      if (r) /* a barrier sample */
+        {
+          group_state_t *g = r->group;
+          request_free (r);
+          barrier_done (g, w);
+        }
+    }
+  if (used)
+    view_failed (w->view, d->name, w->now);
+  dbpool_admit (d);
+}
+
+static void
+message (conn_t *c, const pgmsg_t *m, str_t raw)
+{
+  if (m->type == 'Z' && m->body.n == 1)
+    {
+      c->ready = *m->body.p;
+      c->due--;
+    }
+  if (c->ended)
+    c->doubt = c->doubt || !asynchronous (m->type);
+  else if (c->state == C_RUN && c->req)
+    exchange_message (c, m, raw);
+  else if (c->state == C_RESET)
+    reset_message (c, m);
+  else if (c->state == C_STATUS)
+    status_message (c, m);
+  else if (!asynchronous (m->type))
+    {
+      /* Nobody asked: this connection cannot be trusted any more.  */
+      log_event (EV_ANSWER_UNASKED, "database=" STR_FMT " type=%c",
+                 STR_ARG (c->db->name), m->type);
+      lose (c);
+    }
+}
+
+static bool
+read_bytes (conn_t *c, str_t *got)
+{
+  worker_t *w = c->w;
+  ssize_t n = read (c->io.fd, w->scratch, SCRATCH);
+
+  if (n < 0 && (errno == EAGAIN || errno == EINTR))
+    return false;
+  if (n <= 0)
+    {
+      lose (c);
+      return false;
+    }
+  if (buf_len (&c->in))
+    {
+      buf_add (&c->in, w->scratch, (size_t)n);
+      *got = buf_str (&c->in);
+    }
+  else
+    *got = (str_t){ w->scratch, (size_t)n };
+  return true;
+}
+
+/* Keeps the bytes of S from OFF, an incomplete message.  */
+static void
+keep_rest (conn_t *c, str_t s, size_t off)
+{
+  if (s.p == c->w->scratch)
+    buf_add (&c->in, s.p + off, s.n - off);
+  else
+    buf_take (&c->in, off);
+  if (buf_len (&c->in) == 0)
+    buf_free (&c->in);
+}
+
+static void
+settle (conn_t *c)
+{
+  session_t *s = c->req ? c->req->s : NULL;
+
+  if (c->ended)
+    {
+      c->ended = false;
+      if (c->state == C_RESET)
+        reset_done (c);
+      else if (c->session == NULL)
+        conn_release (c);
+    }
+  else if (s && buf_len (&s->out) > OUT_HIGH && !c->paused)
+    conn_pause (c);
+}
+
+static void
+conn_read (conn_t *c)
+{
+  str_t in;
+  size_t off = 0;
+  pgmsg_t m;
+  err_t e = { 0 };
+  int got;
+
+  if (!read_bytes (c, &in))
+    return;
+  while ((got = pg_next (in, &off, PG_MAX_ANSWER, &m, &e)) == 1)
+    {
+      message (c, &m, (str_t){ in.p + off - m.size, m.size });
+      if (c->dead)
+        return;
+    }
+  if (got < 0)
+    {
+      log_event (EV_ANSWER_BROKEN, "database=" STR_FMT " detail=%s",
+                 STR_ARG (c->db->name), e.detail);
+      lose (c);
+      return;
+    }
+  keep_rest (c, in, off);
+  settle (c);
+}
+
+void
+conn_event (conn_t *c, uint32_t events)
+{
+  if (c->dead)
+    return;
+  if (c->state == C_CONNECT)
+    {
+      go_on_connecting (c);
+      return;
+    }
+  if (events & EPOLLOUT)
+    conn_dirty (c);
+  if (events & (EPOLLIN | EPOLLHUP | EPOLLERR))
+    conn_read (c);
+}
--- /dev/null
+++ b/lib/entry/loop.c
@@ -0,0 +1,285 @@
+#include "worker.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <time.h>
+#include <unistd.h>
+
+enum
+{
+  EVENTS = 256,
+  RING = 1024,     /* grants and cancels waiting for a loop */
+  SQL_CACHE = 4096 /* statements */
+};
+
+double
+usec_now (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3;
+}
+
+/* io_watch: EVENTS of 0 keeps the descriptor registered for errors only.  */
+void
+io_watch (worker_t *w, io_t *io, uint32_t events)
+{
+  struct epoll_event ev = { .events = events, .data.ptr = io };
+
+  if (io->events == events && events)
+    return;
+  if (epoll_ctl (w->epoll, EPOLL_CTL_MOD, io->fd, &ev) && errno == ENOENT)
+    epoll_ctl (w->epoll, EPOLL_CTL_ADD, io->fd, &ev);
+  io->events = events;
+}
+
+static void
+stats_init (stats_t *s)
+{
+  s->requests = counter_get ("pimentopost_requests_total", "requests");
+  s->replica_reads = counter_get (
+      "pimentopost_reads_total{database=\"replica\"}", "reads answered");
+  s->primary_reads = counter_get (
+      "pimentopost_reads_total{database=\"primary\"}", "reads answered");
+  s->writes = counter_get ("pimentopost_writes_total", "commits confirmed");
+  s->refused = counter_get ("pimentopost_refused_total", "requests not run");
+  s->unknown
+      = counter_get ("pimentopost_unknown_total", "requests answered 40003");
+  s->retries = counter_get ("pimentopost_retries_total", "requests repeated");
+  s->unproven = counter_get ("pimentopost_unproven_total",
+                             "reads that a database did not prove");
+  s->barriers
+      = counter_get ("pimentopost_barriers_total", "samples of a primary");
+  s->sessions = counter_get ("pimentopost_sessions", "client connections");
+  s->cancels = counter_get ("pimentopost_cancels_total", "cancel requests");
+}
+
+worker_t *
+worker_new (instance_t *in, int index, int listen_fd)
+{
+  worker_t *w = apr_pcalloc (in->pool, sizeof *w);
+
+  w->in = in;
+  w->index = index;
+  apr_pool_create (&w->pool, in->pool);
+  w->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  rng_init (&w->rng, rng_system_seed ());
+  w->view = view_new (w->pool, in->set->zone, &w->rng);
+  w->sql = sql_cache_new (w->pool, SQL_CACHE);
+  w->stmts = stmts_new (w->pool);
+  w->ring = ring_new (w->pool, RING);
+  w->cfg_term = w->cfg_index = -1;
+  retry_init (&w->retry);
+  stats_init (&w->stats);
+  w->scratch = apr_palloc (w->pool, SCRATCH);
+  w->listen = (io_t){ .fd = listen_fd, .kind = IO_LISTEN };
+  w->grants = (io_t){ .fd = ring_fd (w->ring), .kind = IO_GRANTS };
+  w->now = msec_now ();
+  io_watch (w, &w->listen,
+            EPOLLIN | (in->set->workers > 1 ? EPOLLEXCLUSIVE : 0));
+  io_watch (w, &w->grants, EPOLLIN);
+  return w;
+}
+
+static void
+take_config (worker_t *w, const grant_t *g)
+{
+  apr_pool_t *pool;
+  err_t e = { 0 };
+  char line[400];
+
+  apr_pool_create (&pool, w->pool);
+  config_t *c = config_parse (pool, g->cfg, &e);
+  if (c == NULL)
+    {
+      err_line (&e, line, sizeof line);
+      log_event (EV_CONFIG_REFUSED, "index=%lld cause=%s",
+                 (long long)g->cfg_index, line);
+      apr_pool_destroy (pool);
+      return;
+    }
+  if (w->cfg_pool)
+    apr_pool_destroy (w->cfg_pool);
+  w->cfg_pool = pool;
+  w->cfg = c;
+  if (w->index == 0)
+    log_event (EV_CONFIG, "version=%lld raft_term=%lld index=%lld",
+               (long long)g->cfg_version, (long long)g->cfg_term,
+               (long long)g->cfg_index);
+}
+
+/* Requests that waited for a primary or a database ask again.  */
+static void
+wake_waiting (worker_t *w)
+{
+  for (req_t *r = w->reqs; r; r = r->next)
+    if (r->state == R_LATER)
+      r->wake = w->now;
+  w->next_tick = w->now;
+}
+
+void
+worker_grant (worker_t *w, const grant_t *g)
+{
+  bool fresh;
+  err_t e = { 0 };
+
+  if (!view_grant (w->view, g, w->now, &fresh, &e))
+    {
+      log_event (EV_GRANT_STALE, "detail=%s", e.detail);
+      return;
+    }
+  if (fresh)
+    take_config (w, g);
+  if (fresh || g->cfg_index == w->cfg_index)
+    {
+      w->cfg_term = g->cfg_term;
+      w->cfg_index = g->cfg_index;
+      w->cfg_version = g->cfg_version;
+      w->cfg_confirmed = g->cfg_confirmed;
+    }
+  for (size_t i = 0; view_dbs (w->view, i); i++)
+    dbpool_get (w, view_dbs (w->view, i));
+  dbpool_limits (w);
+  wake_waiting (w);
+}
+
+static void
+take_inbox (worker_t *w)
+{
+  inbox_t *m;
+
+  while ((m = ring_get (w->ring, 0)) != NULL)
+    {
+      if (m->cancel)
+        session_cancel (w, m->pid, m->secret);
+      else
+        {
+          worker_grant (w, m->grant);
+          apr_pool_destroy (m->pool);
+        }
+      free (m);
+    }
+}
+
+static void
+dispatch (worker_t *w, struct epoll_event *ev)
+{
+  io_t *io = ev->data.ptr;
+
+  switch (io->kind)
+    {
+    case IO_LISTEN:
+      session_accept (w);
+      break;
+    case IO_SESSION:
+      session_event ((session_t *)(void *)io, ev->events);
+      break;
+    case IO_CONN:
+      conn_event ((conn_t *)(void *)io, ev->events);
+      break;
+    case IO_GRANTS:
+      take_inbox (w);
+      break;
+    }
+}
+
+static void
+run_ready (worker_t *w)
+{
+  while (w->ready_sessions)
+    {
+      session_t *s = w->ready_sessions;
+      w->ready_sessions = s->ready_next;
+      s->ready = false;
+      if (!s->dead)
+        session_process (s);
+    }
+}
+
+/* Output is written once a round, so that messages share a system call.  */
+static void
+flush_all (worker_t *w)
+{
+  while (w->dirty_conns || w->dirty_sessions)
+    {
+      while (w->dirty_conns)
+        {
+          conn_t *c = w->dirty_conns;
+          w->dirty_conns = c->dirty_next;
+          c->dirty = false;
+          if (!c->dead)
+            conn_flush (c);
+        }
+      run_ready (w);
+      while (w->dirty_sessions)
+        {
+          session_t *s = w->dirty_sessions;
+          w->dirty_sessions = s->dirty_next;
+          s->dirty = false;
+          if (!s->dead)
+            session_flush (s);
+        }
+    }
+}
+
+static bool
+drained (worker_t *w)
+{
+  return w->drain && w->now >= w->drain + DRAIN_GRACE && w->nsessions == 0;
+}
+
+static int
+timeout (const worker_t *w)
+{
+  msec_t left = w->next_tick - w->now;
+
+  return left < 0 ? 0 : (int)left;
+}
+
+bool
+worker_run (void *arg, err_t *e)
+{
+  worker_t *w = arg;
+  struct epoll_event ev[EVENTS];
+
+  (void)e;
+  while (!drained (w))
+    {
+      int n = epoll_wait (w->epoll, ev, EVENTS, timeout (w));
+      w->now = msec_now ();
+      for (int i = 0; i < n; i++)
+        dispatch (w, &ev[i]);
+      run_ready (w);
+      if (w->now >= w->next_tick)
+        worker_tick (w);
+      run_ready (w);
+      flush_all (w);
+      session_bury (w);
+      conn_bury (w);
+    }
+  return true;
+}
+
+static void
+stop (void *arg)
+{
+  worker_t *w = arg;
+
+  /* The loops notice at their next tick; the health check fails at once.  */
+  __atomic_store_n (&w->in->stopping, 1, __ATOMIC_RELEASE);
+}
+
+duty_t
+worker_duty (worker_t *w)
+{
+  return (duty_t){ "worker", worker_run, stop, w };
+}
+
+bool
+instance_stopping (const instance_t *in)
+{
+  return __atomic_load_n (&in->stopping, __ATOMIC_ACQUIRE) != 0;
+}
--- a/lib/entry/pool.c
+++ b/lib/entry/pool.c
@@ -47,18 +47,32 @@
   p->idle = --p->nidle;
 }
 
-int
-pool_take (pool_t *p, uint64_t owner, msec_t now)
+static int
+take_at (pool_t *p, int at, uint64_t owner, msec_t now)
 {
-  if (p->nidle == 0 || owner == 0)
-    return -1;
-  int slot = p->idles[p->nidle - 1];
-  drop_idle (p, p->nidle - 1);
+  int slot = p->idles[at];
+
+  drop_idle (p, at);
   set_state (p, slot, SLOT_BUSY, now);
   p->slot[slot].owner = owner;
   return slot;
 }
 
+int
+pool_take (pool_t *p, uint64_t owner, msec_t now)
+{
+  return p->nidle == 0 || owner == 0 ? -1
+                                     : take_at (p, p->nidle - 1, owner, now);
+}
+
+int
+pool_take_old (pool_t *p, uint64_t owner, msec_t age, msec_t now)
+{
+  if (p->nidle == 0 || owner == 0 || now - p->slot[p->idles[0]].since <= age)
+    return -1;
+  return take_at (p, 0, owner, now);
+}
+
 int
 pool_open (pool_t *p, msec_t now)
 {
--- /dev/null
+++ b/lib/entry/request.c
@@ -0,0 +1,347 @@
+#include "worker.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- life ---- */
+
+req_t *
+request_new (worker_t *w)
+{
+  req_t *r = w->free_reqs;
+
+  if (r)
+    w->free_reqs = r->next;
+  else if ((r = calloc (1, sizeof *r)) == NULL)
+    abort ();
+  /* The lists of a batch keep their memory.  */
+  bmsg_t *msg = r->msg;
+  xop_t *op = r->op;
+  int msg_cap = r->msg_cap;
+  int op_cap = r->op_cap;
+  memset (r, 0, sizeof *r);
+  r->msg = msg;
+  r->msg_cap = msg_cap;
+  r->op = op;
+  r->op_cap = op_cap;
+  r->w = w;
+  r->next = w->reqs;
+  if (r->next)
+    r->next->prev = r;
+  w->reqs = r;
+  if (w->nreqs++ == 0)
+    w->next_tick = w->now + TICK;
+  return r;
+}
+
+void
+request_free (req_t *r)
+{
+  worker_t *w = r->w;
+
+  if (w->cursor == r)
+    w->cursor = r->next;
+  if (r->prev)
+    r->prev->next = r->next;
+  else
+    w->reqs = r->next;
+  if (r->next)
+    r->next->prev = r->prev;
+  w->nreqs--;
+  batch_free (r);
+  buf_free (&r->hold);
+  buf_free (&r->outcome);
+  free (r->set_name);
+  free (r->set_value);
+  r->set_name = r->set_value = NULL;
+  r->next = w->free_reqs;
+  w->free_reqs = r;
+}
+
+str_t
+request_unit (const req_t *r)
+{
+  return (str_t){ buf_str (&r->s->in).p, r->size };
+}
+
+/* ---- ends ---- */
+
+void
+request_leave (req_t *r)
+{
+  dbpool_t *d = r->db;
+
+  if (d == NULL)
+    return;
+  if (r->state == R_ADMIT)
+    admit_withdraw (d->admit, (uint64_t)(uintptr_t)r);
+  else if (r->state == R_CONN)
+    {
+      dbpool_unqueue (d, r);
+      if (r->s)
+        admit_done (d->admit, 0, ADMIT_VOID, r->w->now);
+    }
+  if (r->route.db && r->s)
+    r->route.db->busy--;
+  r->db = NULL;
+  r->state = R_START;
+}
+
+void
+request_end (req_t *r, char block)
+{
+  session_t *s = r->s;
+
+  request_leave (r);
+  if (r->extended)
+    batch_end (r);
+  s->block = block;
+  if (block == BLOCK_NONE)
+    s->block_lost = s->block_read = false;
+  if (!r->flush)
+    pg_put_ready (&s->out, block);
+  buf_take (&s->in, r->size);
+  s->req = NULL;
+  request_free (r);
+  session_dirty (s);
+  session_ready (s);
+  session_resume (s);
+}
+
+void
+request_refuse (req_t *r, pgrefusal_t why, const char *detail)
+{
+  session_t *s = r->s;
+
+  counter_add (pg_refusal_run (why) == PG_UNKNOWN ? s->w->stats.unknown
+                                                  : s->w->stats.refused,
+               1);
+  pg_put_refusal (&s->out, why, false, detail);
+  if (r->flush)
+    s->skip = true;
+  request_end (r, s->block);
+}
+
+/* ---- start ---- */
+
+static planin_t
+plan_input (const req_t *r)
+{
+  const session_t *s = r->s;
+
+  return (planin_t){ .block = (block_t)s->block,
+                     .lost = s->block_lost,
+                     .read_only = s->block_read,
+                     .keyed = r->key_len > 0 };
+}
+
+static void
+note_set (req_t *r, const sql_t *q)
+{
+  if (q->cls != SQL_SET && q->cls != SQL_RESET && q->cls != SQL_SHOW)
+    return;
+  free (r->set_name);
+  free (r->set_value);
+  r->set_name = strndup (q->name.n ? q->name.p : "", q->name.n);
+  r->set_value = strndup (q->value.n ? q->value.p : "", q->value.n);
+  r->set_default = q->defaulted || q->cls == SQL_RESET;
+}
+
+static void
+plan_query (req_t *r, str_t unit)
+{
+  err_t e = { 0 };
+  sql_t q;
+
+  if (!pg_query ((str_t){ unit.p + 5, unit.n - 5 }, &r->text, &e))
+    {
+      r->plan = (plan_t){ .kind = PLAN_REFUSE, .refusal = PG_MALFORMED };
+      return;
+    }
+  if (!props_request (r, r->text))
+    return;
+  sql_classify (r->w->sql, r->text, &q);
+  note_set (r, &q);
+  planin_t in = plan_input (r);
+  r->plan = plan_statement (&q, &in);
+}
+
+static bool
+within_rate (req_t *r)
+{
+  const config_t *c = r->w->cfg;
+
+  return c == NULL
+         || rate_take (&r->s->rate, c->limits.session_requests,
+                       c->limits.session_window, r->w->now, NULL);
+}
+
+static void
+begin_request (req_t *r)
+{
+  session_t *s = r->s;
+
+  switch (r->plan.kind)
+    {
+    case PLAN_REFUSE:
+      request_refuse (r, r->plan.refusal, r->plan.why);
+      break;
+    case PLAN_LOCAL:
+      local_answer (r);
+      break;
+    case PLAN_BLOCK:
+    case PLAN_COMMIT:
+      r->conn = s->conn;
+      r->db = NULL;
+      request_run (r);
+      break;
+    default:
+      if (within_rate (r))
+        request_route (r);
+      else
+        request_refuse (r, PG_OVERLOAD,
+                        "the session's rate is above its "
+                        "limit");
+    }
+}
+
+void
+request_start (session_t *s, unit_t u, size_t size)
+{
+  worker_t *w = s->w;
+  req_t *r = request_new (w);
+
+  r->s = s;
+  s->req = r;
+  r->size = size;
+  r->group = s->group;
+  r->arrived = w->now;
+  r->deadline = w->now + DEADLINE_DEFAULT;
+  r->max_age = -1;
+  r->extended = u != UNIT_QUERY;
+  r->flush = u == UNIT_FLUSH;
+  counter_add (w->stats.requests, 1);
+  retry_request (&w->retry);
+  if (s->admin)
+    {
+      request_refuse (r, PG_UNSUPPORTED,
+                      "only simple queries in the admin database");
+      return;
+    }
+  if (r->extended)
+    batch_read (r, request_unit (r));
+  else
+    plan_query (r, request_unit (r));
+  /* A key of the session is for one write.  */
+  if (r->plan.kind == PLAN_KEYED && s->props)
+    s->props->hint.key = (str_t){ 0 };
+  begin_request (r);
+}
+
+/* ---- routing ---- */
+
+static bool
+writes (const req_t *r)
+{
+  return r->plan.kind == PLAN_WRITE || r->plan.kind == PLAN_KEYED
+         || r->plan.kind == PLAN_BEGIN;
+}
+
+static void
+nowhere (req_t *r)
+{
+  if (r->w->now >= r->deadline)
+    request_refuse (r, writes (r) ? PG_NO_PRIMARY : PG_DEADLINE,
+                    "the deadline has passed");
+  else
+    request_refuse (r, writes (r) ? PG_NO_PRIMARY : PG_NO_DATABASE, "");
+}
+
+static void
+to_database (req_t *r)
+{
+  worker_t *w = r->w;
+  dbpool_t *d = dbpool_get (w, r->route.db);
+  admit_kind_t why = ADMIT_FULL;
+
+  if (!admit_offer (d->admit, (uint64_t)(uintptr_t)r, r->worth, r->deadline,
+                    w->now, &why))
+    {
+      request_refuse (r, why == ADMIT_FULL ? PG_OVERLOAD : PG_DEADLINE, "");
+      return;
+    }
+  r->db = d;
+  r->route.db->busy++;
+  r->state = R_ADMIT;
+  dbpool_admit (d);
+}
+
+void
+request_route (req_t *r)
+{
+  worker_t *w = r->w;
+  ask_t ask = { .group = r->group->name,
+                .write = writes (r),
+                .token = r->s->token,
+                .began = r->s->began,
+                .max_age = r->max_age,
+                .deadline = r->deadline,
+                .tried = r->tried };
+
+  r->route = route_pick (w->view, &ask, w->now);
+  switch (r->route.kind)
+    {
+    case ROUTE_PRIMARY:
+    case ROUTE_REPLICA:
+      to_database (r);
+      break;
+    case ROUTE_BARRIER:
+      barrier_ask (r);
+      break;
+    case ROUTE_LATER:
+      r->state = R_LATER;
+      r->wake = w->now + r->route.wait;
+      r->tried = 0;
+      break;
+    case ROUTE_NONE:
+      nowhere (r);
+      break;
+    }
+}
+
+/* ---- running ---- */
+
+static xplan_t
+exchange_plan (const req_t *r)
+{
+  const session_t *s = r->s;
+  bool pinned = r->plan.kind == PLAN_BLOCK || r->plan.kind == PLAN_COMMIT;
+
+  return (xplan_t){ .kind = r->plan.kind,
+                    .setup = !pinned && s->guc.n > 0,
+                    .check = !pinned && r->route.kind == ROUTE_REPLICA
+                             && r->route.need.term > 0,
+                    .lease = !pinned && r->route.kind == ROUTE_PRIMARY,
+                    .extended = r->extended,
+                    .term = pinned ? s->conn->term : r->route.term };
+}
+
+void
+request_run (req_t *r)
+{
+  worker_t *w = r->w;
+  conn_t *c = r->conn;
+  xplan_t plan = exchange_plan (r);
+
+  r->state = R_RUN;
+  r->asked = r->progress = w->now;
+  r->asked_us = usec_now ();
+  c->req = r;
+  c->term = plan.term;
+  if (r->plan.touches || plan.setup)
+    c->touched = true;
+  buf_free (&r->hold);
+  xchg_init (&r->x, plan);
+  xchg_phase (&r->x);
+  send_phase (r);
+}
--- a/lib/entry/xchg.c
+++ b/lib/entry/xchg.c
@@ -151,6 +151,7 @@
       *v = XV_BROKEN;
       return X_DROP;
     }
+  x->failed_op = x->op;
   x->op = x->nops;
   if (confirms (x) || (x->not_run && !x->began))
     return prefix (x, m->size);
