--- a/cmd/pimentopostd/main.c
+++ b/cmd/pimentopostd/main.c
@@ -69,8 +69,5 @@
   if (s == NULL)
     return refuse (&e);
   log_open ("pimentopostd", s->log_level);
-  if (s->role == ROLE_CONTROL)
-    return control_main (s);
-  err_set (&e, ERR_USAGE, "role", "this build has no entry role");
-  return refuse (&e);
+  return s->role == ROLE_CONTROL ? control_main (s) : entry_main (s);
 }
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -1,6 +1,27 @@
 #include "worker.h"
 
-#include <stdio.h>
+/* The HTTP server for health and metrics, where one is configured.  */
+static bool
+add_health (sup_t *sup, instance_t *in, err_t *e)
+{
+  if (in->set->health.n == 0)
+    return true;
+  int fd = rpc_listen (in->set->health, e);
+  http_t *h = fd < 0 ? NULL : http_new (in->pool, fd, instance_health, in, e);
+  if (h)
+    sup_add (sup, http_duty (h));
+  return h != NULL;
+}
+
+static int
+refuse (const err_t *e)
+{
+  char line[400];
+
+  err_line (e, line, sizeof line);
+  log_event (EV_FATAL, "cause=%s", line);
+  return err_exit (e->code);
+}
 
 int
 entry_main (const settings_t *s)
@@ -12,25 +33,19 @@
   };
   apr_pool_t *pool;
   err_t e = { 0 };
-  char line[400];
 
   apr_pool_create (&pool, NULL);
   instance_t *in = instance_new (pool, s, &e);
   if (in == NULL)
-    {
-      err_line (&e, line, sizeof line);
-      log_event (EV_FATAL, "cause=%s", line);
-      return err_exit (e.code);
-    }
+    return refuse (&e);
   sup_t *sup = sup_new (pool, "entry", RESTARTS, PERIOD);
   /* Duties stop in reverse order: the loops first, while leases are still
      renewed and the health check fails.  */
   sup_add (sup, link_duty (in));
   sup_add (sup, cancel_duty (in));
-  if (s->health.n)
-    sup_add (sup, http_duty (in));
+  if (!add_health (sup, in, &e))
+    return refuse (&e);
   for (int i = 0; i < in->nworkers; i++)
     sup_add (sup, worker_duty (in->worker[i]));
-  int code = sup_main (sup);
-  return code;
+  return sup_main (sup);
 }
--- a/lib/entry/instance.c
+++ b/lib/entry/instance.c
@@ -1,13 +1,29 @@
 #include "worker.h"
 
-#include <unistd.h>
-
 enum
 {
   REPORTS = 4096, /* announcements and reports waiting for the link */
-  CANCELS = 256
+  CANCELS = 256,
+  CONTACT_LATE = 2000 /* ms without a grant until /health says so */
 };
 
+bool
+instance_health (void *arg, buf_t *out)
+{
+  const instance_t *in = arg;
+  msec_t contact = __atomic_load_n (&in->contact, __ATOMIC_ACQUIRE);
+
+  if (instance_stopping (in))
+    {
+      buf_fmt (out, "stopping\n");
+      return false;
+    }
+  /* Without control the instance goes on serving what it can.  */
+  buf_fmt (out,
+           msec_now () - contact > CONTACT_LATE ? "ok, no contact\n" : "ok\n");
+  return true;
+}
+
 instance_t *
 instance_new (apr_pool_t *pool, const settings_t *s, err_t *e)
 {
--- a/lib/entry/worker.h
+++ b/lib/entry/worker.h
@@ -518,12 +518,13 @@
 
 bool instance_stopping (const instance_t *in);
 
-/* link.c, http.c, canceller.c: duties */
+/* link.c, canceller.c: duties */
 duty_t link_duty (instance_t *in);
-duty_t http_duty (instance_t *in);
 duty_t cancel_duty (instance_t *in);
 duty_t worker_duty (worker_t *w);
 /* instance_new: an instance that listens on its address.  */
 instance_t *instance_new (apr_pool_t *pool, const settings_t *s, err_t *e);
+/* instance_health: text for GET /health; false once the instance stops.  */
+bool instance_health (void *arg, buf_t *out);
 
 #endif
