--- /dev/null
+++ b/cmd/ppdbsim/admin.c
@@ -0,0 +1,408 @@
+#include "sim.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* ---- rows ---- */
+
+typedef struct
+{
+  char text[24];
+} num_t;
+
+static str_t
+num (num_t *n, int64_t v)
+{
+  int len = snprintf (n->text, sizeof n->text, "%lld", (long long)v);
+
+  return (str_t){ n->text, (size_t)len };
+}
+
+static str_t
+flag (bool b)
+{
+  return b ? STR ("t") : STR ("f");
+}
+
+static void
+one_row (conn_t *c, const str_t *v)
+{
+  pg_rowdesc (c);
+  pg_row (c, c->st.ncols, v);
+  pg_complete (c, "SELECT 1");
+}
+
+static str_t
+history (conn_t *c)
+{
+  buf_t b;
+
+  buf_init (&b);
+  terms_text (&c->sim->terms, &b);
+  str_t s = str_dup (c->pool, buf_str (&b));
+  buf_free (&b);
+  return s;
+}
+
+static void
+status_row (conn_t *c)
+{
+  sim_t *s = c->sim;
+  num_t n[7];
+
+  one_row (c, (str_t[]){
+                  num (&n[0], sim_term (s)),
+                  s->primary ? STR ("primary") : STR ("replica"),
+                  num (&n[1], s->pos),
+                  num (&n[2], s->primary ? s->confirmed : 0),
+                  history (c),
+                  num (&n[3], s->primary ? 0 : s->now - s->up_heard),
+                  flag (s->leaving),
+                  num (&n[4], conn_count (s)),
+                  num (&n[5], s->limit),
+                  num (&n[6], s->slots),
+              });
+}
+
+static void
+proof_row (conn_t *c, int64_t pos, bool ok)
+{
+  num_t n[2];
+
+  one_row (c, (str_t[]){ num (&n[0], sim_term (c->sim)), num (&n[1], pos),
+                         flag (ok), history (c) });
+}
+
+static bool
+arg_int (conn_t *c, int i, int64_t *v)
+{
+  if (i < c->st.nargs && str_int (c->st.arg[i], v) && *v >= 0)
+    return true;
+  pg_error (c, "22023", "argument %d of " STR_FMT " must be a number", i + 1,
+            STR_ARG (c->st.table));
+  return false;
+}
+
+/* ---- confirm and wait ---- */
+
+/* admin_confirmed: the position that a majority holds in this term; the
+   primary itself counts as one.  */
+void
+admin_confirmed (sim_t *s)
+{
+  int64_t best[8] = { 0 };
+  int need = s->members / 2;
+
+  if (need > 8)
+    need = 8;
+  if (need == 0)
+    s->confirmed = s->pos;
+  for (conn_t *c = s->conns; c; c = c->next)
+    if (c->kind == K_REPLICA && !c->gone && c->ready
+        && c->ack_term == sim_term (s))
+      {
+        int64_t v = c->ack;
+        for (int i = 0; i < need; i++)
+          if (v > best[i])
+            {
+              int64_t t = best[i];
+              best[i] = v;
+              v = t;
+            }
+      }
+  if (need > 0 && best[need - 1] > s->confirmed)
+    s->confirmed = best[need - 1];
+}
+
+void
+func_confirm (conn_t *c)
+{
+  sim_t *s = c->sim;
+  bool ok = s->primary && s->confirmed >= c->cover_pos
+            && sim_term (s) == c->cover_term;
+
+  if (!ok && !sim_readonly (s) && s->now < c->due
+      && sim_term (s) == c->cover_term)
+    {
+      c->wait = W_CONFIRM;
+      return;
+    }
+  c->wait = W_NONE;
+  proof_row (c, c->cover_pos, ok);
+}
+
+void
+func_cover (conn_t *c)
+{
+  sim_t *s = c->sim;
+  bool ok = terms_cover (&s->terms, s->pos, c->cover_term, c->cover_pos);
+
+  if (!ok && s->now < c->due)
+    {
+      c->wait = W_COVER;
+      return;
+    }
+  c->wait = W_NONE;
+  proof_row (c, s->pos, ok);
+}
+
+static void
+start_confirm (conn_t *c)
+{
+  int64_t ms;
+
+  if (!arg_int (c, 0, &ms))
+    return;
+  c->cover_term = sim_term (c->sim);
+  c->cover_pos = c->last;
+  c->due = c->sim->now + ms;
+  func_confirm (c);
+}
+
+static void
+start_cover (conn_t *c)
+{
+  int64_t ms;
+
+  if (!arg_int (c, 0, &c->cover_term) || !arg_int (c, 1, &c->cover_pos)
+      || !arg_int (c, 2, &ms))
+    return;
+  c->due = c->sim->now + ms;
+  func_cover (c);
+}
+
+/* ---- fence, promote, follow ---- */
+
+static void
+set_owner (str_t *to, str_t from)
+{
+  str_t copy = heap_dup (from);
+
+  heap_free (to);
+  *to = copy;
+}
+
+static void
+changed (conn_t *c, const char *what)
+{
+  sim_t *s = c->sim;
+
+  disk_state (s);
+  log_event (EV_SIM_ROLE,
+             "name=" STR_FMT " by=%s role=%s term=%lld position=%lld "
+             "fence=%lld owner=" STR_FMT,
+             STR_ARG (s->name), what, s->primary ? "primary" : "replica",
+             (long long)sim_term (s), (long long)s->pos, (long long)s->fence,
+             STR_ARG (s->owner));
+  status_row (c);
+}
+
+static void
+fence (conn_t *c)
+{
+  sim_t *s = c->sim;
+  int64_t term;
+  str_t owner = c->st.arg[1];
+
+  if (!arg_int (c, 0, &term))
+    return;
+  if (term < s->fence || term < sim_term (s)
+      || (term == s->fence && !str_eq (owner, s->owner))
+      || (term == sim_term (s) && !str_eq (owner, s->term_owner)))
+    {
+      pg_error (c, "55000", "term %lld is fenced by '" STR_FMT "'",
+                (long long)(s->fence > sim_term (s) ? s->fence : sim_term (s)),
+                STR_ARG (s->owner));
+      return;
+    }
+  s->fence = term;
+  set_owner (&s->owner, owner);
+  if (s->up && term > sim_term (s))
+    repl_stop_upstream (s);
+  changed (c, "fence");
+}
+
+static void
+promote (conn_t *c)
+{
+  sim_t *s = c->sim;
+  int64_t term;
+
+  if (!arg_int (c, 0, &term))
+    return;
+  if (term != s->fence || !str_eq (c->st.arg[1], s->owner))
+    {
+      pg_error (c, "55000", "no fence of term %lld by that owner",
+                (long long)term);
+      return;
+    }
+  if (s->primary && sim_term (s) == term)
+    {
+      status_row (c);
+      return;
+    }
+  if (sim_term (s) >= term)
+    {
+      pg_error (c, "55000", "term %lld has already begun", (long long)term);
+      return;
+    }
+  repl_stop_upstream (s);
+  repl_stop_replicas (s);
+  if (s->terms.n == TERMS_MAX)
+    memmove (&s->terms.at[1], &s->terms.at[2],
+             (size_t)(--s->terms.n - 1) * sizeof s->terms.at[0]);
+  s->terms.at[s->terms.n++] = (epoch_t){ term, s->pos };
+  s->primary = true;
+  s->confirmed = 0;
+  set_owner (&s->term_owner, s->owner);
+  changed (c, "promote");
+}
+
+static void
+follow (conn_t *c)
+{
+  sim_t *s = c->sim;
+  int64_t term;
+  str_t to = c->st.arg[0];
+
+  if (!arg_int (c, 1, &term))
+    return;
+  if (term < s->fence || term < sim_term (s)
+      || (s->primary && term == sim_term (s)))
+    {
+      pg_error (c, "55000", "cannot follow term %lld at term %lld, fence %lld",
+                (long long)term, (long long)sim_term (s), (long long)s->fence);
+      return;
+    }
+  if (!s->primary && term == s->upstream_term && str_eq (to, s->upstream))
+    {
+      status_row (c);
+      return;
+    }
+  repl_stop_upstream (s);
+  repl_stop_replicas (s);
+  s->primary = false;
+  s->upstream_term = term;
+  set_owner (&s->upstream, to);
+  /* The age of the upstream counts from the order to follow it.  */
+  s->up_heard = s->now;
+  s->up_next = s->now;
+  changed (c, "follow");
+}
+
+/* ---- faults and figures ---- */
+
+static void
+heal (sim_t *s)
+{
+  s->frozen = s->cut = s->leaving = false;
+  s->thaw = 0;
+  s->lag = s->lag0;
+  for (conn_t *c = s->conns; c; c = c->next)
+    if (c->silent)
+      conn_close (c);
+}
+
+static void
+fault (conn_t *c)
+{
+  sim_t *s = c->sim;
+  str_t what = c->st.arg[0];
+  int64_t ms = 0;
+
+  if (!c->control)
+    {
+      pg_error (c, "42501", "faults are for user pimentopost_control");
+      return;
+    }
+  if (c->st.nargs > 1 && !arg_int (c, 1, &ms))
+    return;
+  if (str_eq (what, STR ("freeze")))
+    {
+      s->frozen = true;
+      s->thaw = ms ? s->now + ms : 0;
+    }
+  else if (str_eq (what, STR ("lag")))
+    s->lag = ms;
+  else if (str_eq (what, STR ("cut")))
+    s->cut = true;
+  else if (str_eq (what, STR ("leave")))
+    s->leaving = true;
+  else if (str_eq (what, STR ("heal")))
+    heal (s);
+  else if (str_eq (what, STR ("silent")))
+    for (conn_t *o = s->conns; o; o = o->next)
+      o->silent = !o->fault;
+  else
+    {
+      pg_error (c, "22023", "unknown fault");
+      return;
+    }
+  log_event (EV_SIM_FAULT, "name=" STR_FMT " fault=" STR_FMT " ms=%lld",
+             STR_ARG (s->name), STR_ARG (what), (long long)ms);
+  one_row (c, (str_t[]){ STR ("ok") });
+}
+
+static void
+stats (conn_t *c)
+{
+  sim_t *s = c->sim;
+  num_t n[5];
+
+  one_row (c, (str_t[]){ s->name, num (&n[0], s->reads),
+                         num (&n[1], s->writes), num (&n[2], s->opened),
+                         num (&n[3], s->pos), num (&n[4], s->busy) });
+}
+
+/* ---- table of functions ---- */
+
+typedef struct
+{
+  const char *name;
+  void (*run) (conn_t *c);
+  const char *cols;
+} func_t;
+
+#define STATUS_COLS                                                           \
+  "term role position confirmed history upstream_age_ms leaving "             \
+  "connections connection_limit slots"
+
+static const func_t funcs[] = {
+  { "pimentopost_status", status_row, STATUS_COLS },
+  { "pimentopost_confirm", start_confirm, "term position confirmed history" },
+  { "pimentopost_wait", start_cover, "term position covered history" },
+  { "pimentopost_fence", fence, STATUS_COLS },
+  { "pimentopost_promote", promote, STATUS_COLS },
+  { "pimentopost_follow", follow, STATUS_COLS },
+  { "ppdbsim_fault", fault, "ppdbsim_fault" },
+  { "ppdbsim_stats", stats, "name reads writes opened position busy" },
+};
+
+static const func_t *
+find (str_t name)
+{
+  for (size_t i = 0; i < sizeof funcs / sizeof *funcs; i++)
+    if (str_caseeq (name, str_of (funcs[i].name)))
+      return &funcs[i];
+  return NULL;
+}
+
+void
+func_cols (stmt_t *st)
+{
+  const func_t *f = find (st->table);
+
+  st->ncols = 0;
+  for (const char *p = f ? f->cols : ""; *p;)
+    {
+      size_t n = strcspn (p, " ");
+      st->col[st->ncols++] = (str_t){ (char *)p, n };
+      p += n + (p[n] == ' ');
+    }
+}
+
+void
+func_start (conn_t *c)
+{
+  find (c->st.table)->run (c);
+}
