--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -1,4 +1,5 @@
 #include "rpc.h"
+#include "scan.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -90,11 +91,43 @@
 TABLE (snap_req);
 
 static const field_t snap_resp_fields[]
-    = { INT (snap_resp_t, term), INT (snap_resp_t, from),
+    = { INT (snap_resp_t, term),   INT (snap_resp_t, from),
         INT (snap_resp_t, offset), BOOL (snap_resp_t, done),
-        INT (snap_resp_t, seq) };
+        INT (snap_resp_t, seq),    INT (snap_resp_t, last_index) };
 TABLE (snap_resp);
 
+static const field_t member_fields[]
+    = { INT (member_t, id), BOOL (member_t, voter), TEXT (member_t, name),
+        TEXT (member_t, address) };
+TABLE (member);
+
+static const field_t members_fields[] = { LIST (members_t, list, member) };
+TABLE (members);
+
+static const field_t hello_fields[]
+    = { INT (hello_t, id), TEXT (hello_t, name), TEXT (hello_t, address),
+        BOOL (hello_t, join) };
+TABLE (hello);
+
+static const field_t hello_resp_fields[]
+    = { INT (hello_resp_t, id), TEXT (hello_resp_t, name),
+        BOOL (hello_resp_t, has_log), TEXT (hello_resp_t, leader) };
+TABLE (hello_resp);
+
+static const field_t raft_state_fields[]
+    = { INT (raft_state_t, id), INT (raft_state_t, term),
+        INT (raft_state_t, vote) };
+TABLE (raft_state);
+
+static const field_t raft_record_fields[]
+    = { LIST (raft_record_t, entries, log_entry) };
+TABLE (raft_record);
+
+static const field_t raft_snap_fields[]
+    = { INT (raft_snap_t, index), INT (raft_snap_t, term),
+        TEXT (raft_snap_t, members), TEXT (raft_snap_t, data) };
+TABLE (raft_snap);
+
 static const field_t probe_fields[]
     = { TEXT (probe_t, name),        TEXT (probe_t, address),
         BOOL (probe_t, reachable),   INT (probe_t, ok_age),
@@ -196,6 +229,12 @@
   [MSG_SUBMIT_RESP] = &submit_resp_table,
   [MSG_QUERY] = &query_table,
   [MSG_QUERY_RESP] = &query_resp_table,
+  [MSG_HELLO] = &hello_table,
+  [MSG_HELLO_RESP] = &hello_resp_table,
+  [MSG_MEMBERS] = &members_table,
+  [MSG_RAFT_STATE] = &raft_state_table,
+  [MSG_RAFT_RECORD] = &raft_record_table,
+  [MSG_RAFT_SNAP] = &raft_snap_table,
 };
 
 const char *
@@ -316,6 +355,9 @@
 {
   if (o->type != MSGPACK_OBJECT_ARRAY)
     return err_set (e, ERR_PROTOCOL, t->name, "a list was expected");
+  if (o->via.array.size > RPC_MAX_LIST)
+    return err_set (e, ERR_TOO_LARGE, t->name, "%u records, at most %d",
+                    o->via.array.size, RPC_MAX_LIST);
   l->n = o->via.array.size;
   l->v = apr_pcalloc (pool, l->n * t->size + 1);
   for (size_t i = 0; i < l->n; i++)
@@ -403,11 +445,16 @@
   size_t off = 0;
   void *msg = NULL;
 
+  if (!rpc_scan (body))
+    {
+      err_set (e, ERR_PROTOCOL, "frame", "not one msgpack value of %zu bytes",
+               body.n);
+      return NULL;
+    }
   msgpack_unpacked_init (&u);
   int rc = msgpack_unpack_next (&u, body.p, body.n, &off);
   if (rc != MSGPACK_UNPACK_SUCCESS || off != body.n)
-    err_set (e, ERR_PROTOCOL, "frame", "not one msgpack value of %zu bytes",
-             body.n);
+    err_set (e, ERR_PROTOCOL, "frame", "unpacking failed (%d)", rc);
   else
     msg = unpack_message (pool, &u.data, type, e);
   msgpack_unpacked_destroy (&u);
