--- a/cmd/ppdbsim/admin.c
+++ b/cmd/ppdbsim/admin.c
@@ -27,9 +27,9 @@
 static void
 one_row (conn_t *c, const str_t *v)
 {
-  pg_rowdesc (c);
-  pg_row (c, c->st.ncols, v);
-  pg_complete (c, "SELECT 1");
+  sess_rowdesc (c);
+  sess_row (c, c->st.ncols, v);
+  sess_complete (c, "SELECT 1");
 }
 
 static str_t
@@ -78,8 +78,8 @@
 {
   if (i < c->st.nargs && str_int (c->st.arg[i], v) && *v >= 0)
     return true;
-  pg_error (c, "22023", "argument %d of " STR_FMT " must be a number", i + 1,
-            STR_ARG (c->st.table));
+  sess_error (c, "22023", "argument %d of " STR_FMT " must be a number", i + 1,
+              STR_ARG (c->st.table));
   return false;
 }
 
@@ -210,9 +210,10 @@
       || (term == s->fence && !str_eq (owner, s->owner))
       || (term == sim_term (s) && !str_eq (owner, s->term_owner)))
     {
-      pg_error (c, "55000", "term %lld is fenced by '" STR_FMT "'",
-                (long long)(s->fence > sim_term (s) ? s->fence : sim_term (s)),
-                STR_ARG (s->owner));
+      sess_error (
+          c, "55000", "term %lld is fenced by '" STR_FMT "'",
+          (long long)(s->fence > sim_term (s) ? s->fence : sim_term (s)),
+          STR_ARG (s->owner));
       return;
     }
   s->fence = term;
@@ -232,8 +233,8 @@
     return;
   if (term != s->fence || !str_eq (c->st.arg[1], s->owner))
     {
-      pg_error (c, "55000", "no fence of term %lld by that owner",
-                (long long)term);
+      sess_error (c, "55000", "no fence of term %lld by that owner",
+                  (long long)term);
       return;
     }
   if (s->primary && sim_term (s) == term)
@@ -243,7 +244,7 @@
     }
   if (sim_term (s) >= term)
     {
-      pg_error (c, "55000", "term %lld has already begun", (long long)term);
+      sess_error (c, "55000", "term %lld has already begun", (long long)term);
       return;
     }
   repl_stop_upstream (s);
@@ -270,8 +271,9 @@
   if (term < s->fence || term < sim_term (s)
       || (s->primary && term == sim_term (s)))
     {
-      pg_error (c, "55000", "cannot follow term %lld at term %lld, fence %lld",
-                (long long)term, (long long)sim_term (s), (long long)s->fence);
+      sess_error (
+          c, "55000", "cannot follow term %lld at term %lld, fence %lld",
+          (long long)term, (long long)sim_term (s), (long long)s->fence);
       return;
     }
   if (!s->primary && term == s->upstream_term && str_eq (to, s->upstream))
@@ -312,7 +314,7 @@
 
   if (!c->control)
     {
-      pg_error (c, "42501", "faults are for user pimentopost_control");
+      sess_error (c, "42501", "faults are for user pimentopost_control");
       return;
     }
   if (c->st.nargs > 1 && !arg_int (c, 1, &ms))
@@ -335,7 +337,7 @@
       o->silent = !o->fault;
   else
     {
-      pg_error (c, "22023", "unknown fault");
+      sess_error (c, "22023", "unknown fault");
       return;
     }
   log_event (EV_SIM_FAULT, "name=" STR_FMT " fault=" STR_FMT " ms=%lld",
--- a/cmd/ppdbsim/announce.c
+++ b/cmd/ppdbsim/announce.c
@@ -1,26 +1,13 @@
 #include "sim.h"
+#include "pgwire.h"
 #include "rpc.h"
 
-#include <arpa/inet.h>
-#include <string.h>
-
 enum
 {
   PERIOD_MS = 250,
   SILENCE_MS = 1000 /* without an answer for so long the next is tried */
 };
 
-static void
-send_startup (conn_t *c)
-{
-  static const char body[]
-      = "user\0pimentopost_control\0database\0pimentopost\0";
-  uint32_t head[2] = { htonl (8 + sizeof body), htonl (196608) };
-
-  buf_add (&c->out, head, sizeof head);
-  buf_add (&c->out, body, sizeof body);
-}
-
 static void
 send_announcement (conn_t *c)
 {
@@ -34,11 +21,7 @@
            STR_ARG (s->group), STR_ARG (s->name), STR_ARG (s->address),
            STR_ARG (s->zone), (long long)sim_term (s), (long long)s->pos,
            s->leaving ? "true" : "false");
-  uint32_t n = htonl ((uint32_t)b.n + 5);
-  buf_add (&c->out, "Q", 1);
-  buf_add (&c->out, &n, 4);
-  buf_add (&c->out, b.p, b.n);
-  buf_add (&c->out, "", 1);
+  pg_put_query (&c->out, buf_str (&b));
   buf_free (&b);
   c->told = s->now;
 }
@@ -47,28 +30,22 @@
 void
 announce_input (conn_t *c)
 {
-  uint32_t n;
+  pgmsg_t m;
+  err_t e;
+  int got;
 
-  while (buf_len (&c->in) >= 5)
+  while ((got = pg_message (&c->in, PG_MAX_MESSAGE, &m, &e)) > 0)
     {
-      char type = c->in.p[c->in.off];
-      memcpy (&n, c->in.p + c->in.off + 1, 4);
-      n = ntohl (n);
-      if (n < 4 || n > IN_MAX)
-        {
-          conn_close (c);
-          return;
-        }
-      if (buf_len (&c->in) < (size_t)n + 1)
-        return;
-      if (type == 'Z')
+      if (m.type == 'Z')
         c->ready = true;
-      if (type == 'E')
+      if (m.type == 'E')
         log_event (EV_SIM_ANNOUNCE_FAILED, "name=" STR_FMT " refused",
                    STR_ARG (c->sim->name));
-      buf_take (&c->in, (size_t)n + 1);
+      buf_take (&c->in, m.size);
       c->heard = c->sim->now;
     }
+  if (got < 0)
+    conn_close (c);
 }
 
 static void
@@ -83,7 +60,8 @@
     return;
   s->ann = conn_add (s, fd, K_ANNOUNCE);
   s->ann->heard = s->now;
-  send_startup (s->ann);
+  pg_put_startup (&s->ann->out, STR ("pimentopost_control"),
+                  STR ("pimentopost"));
 }
 
 void
--- a/cmd/ppdbsim/exec.c
+++ b/cmd/ppdbsim/exec.c
@@ -36,9 +36,9 @@
 static void
 refuse_write (conn_t *c)
 {
-  pg_error (c, "25006",
-            "cannot execute a write in a read-only transaction: this "
-            "database is not the primary");
+  sess_error (c, "25006",
+              "cannot execute a write in a read-only transaction: this "
+              "database is not the primary");
 }
 
 static void
@@ -53,19 +53,19 @@
           c->tx = 'T';
           c->readonly = c->st.readonly;
         }
-      pg_complete (c, "BEGIN");
+      sess_complete (c, "BEGIN");
     }
   else if (c->st.kind == ST_COMMIT && !failed)
     {
       if (tx_end (c, true))
-        pg_complete (c, "COMMIT");
+        sess_complete (c, "COMMIT");
       else
         refuse_write (c);
     }
   else
     {
       tx_end (c, false);
-      pg_complete (c, "ROLLBACK");
+      sess_complete (c, "ROLLBACK");
     }
 }
 
@@ -102,7 +102,7 @@
 
   for (int i = 0; i < c->st.ncols; i++)
     v[i] = is_key_column (c->st.col[i]) ? id : val;
-  pg_row (c, c->st.ncols, v);
+  sess_row (c, c->st.ncols, v);
 }
 
 static void
@@ -111,10 +111,10 @@
   str_t val;
   bool found = value_of (c, c->st.table, c->st.id, &val);
 
-  pg_rowdesc (c);
+  sess_rowdesc (c);
   if (found)
     answer_row (c, c->st.id, val);
-  pg_complete (c, "SELECT %d", found);
+  sess_complete (c, "SELECT %d", found);
 }
 
 static int64_t
@@ -152,14 +152,14 @@
   char num[24];
   bool count = c->st.kind == ST_COUNT;
 
-  pg_rowdesc (c);
+  sess_rowdesc (c);
   int64_t n = each_row (c, !count);
   if (count)
     {
       snprintf (num, sizeof num, "%lld", (long long)n);
-      pg_row (c, 1, (str_t[]){ str_of (num) });
+      sess_row (c, 1, (str_t[]){ str_of (num) });
     }
-  pg_complete (c, "SELECT %lld", count ? 1LL : (long long)n);
+  sess_complete (c, "SELECT %lld", count ? 1LL : (long long)n);
 }
 
 static void
@@ -171,20 +171,20 @@
   while (c->series < c->st.n && buf_len (&c->out) < OUT_HIGH)
     {
       snprintf (num, sizeof num, "%lld", (long long)++c->series);
-      pg_row (c, 1, (str_t[]){ str_of (num) });
+      sess_row (c, 1, (str_t[]){ str_of (num) });
     }
   if (c->series < c->st.n)
     return;
   c->wait = W_NONE;
-  pg_complete (c, "SELECT %lld", (long long)c->st.n);
+  sess_complete (c, "SELECT %lld", (long long)c->st.n);
 }
 
 static void
 run_value (conn_t *c, str_t v)
 {
-  pg_rowdesc (c);
-  pg_row (c, 1, &v);
-  pg_complete (c, "SELECT 1");
+  sess_rowdesc (c);
+  sess_row (c, 1, &v);
+  sess_complete (c, "SELECT 1");
 }
 
 static void
@@ -195,9 +195,9 @@
 
   if (str_caseeq (c->st.table, STR ("ppdbsim.name")))
     v = c->sim->name;
-  pg_rowdesc (c);
-  pg_row (c, 1, &v);
-  pg_complete (c, "SHOW");
+  sess_rowdesc (c);
+  sess_row (c, 1, &v);
+  sess_complete (c, "SHOW");
 }
 
 /* ---- writes ---- */
@@ -221,7 +221,7 @@
   o->del = del;
   if (c->st.ncols)
     {
-      pg_rowdesc (c);
+      sess_rowdesc (c);
       answer_row (c, o->id, o->val);
     }
 }
@@ -233,14 +233,14 @@
 
   if (value_of (c, c->st.table, c->st.id, &old))
     {
-      pg_error (c, "23505",
-                "duplicate key value violates unique constraint \"" STR_FMT
-                "_pkey\"",
-                STR_ARG (c->st.table));
+      sess_error (c, "23505",
+                  "duplicate key value violates unique constraint \"" STR_FMT
+                  "_pkey\"",
+                  STR_ARG (c->st.table));
       return;
     }
   write_row (c, c->st.val, false);
-  pg_complete (c, "INSERT 0 1");
+  sess_complete (c, "INSERT 0 1");
 }
 
 static void
@@ -257,7 +257,7 @@
     {
       if (!str_int (val, &a) || !str_int (c->st.val, &b))
         {
-          pg_error (c, "22P02", "value is not a number");
+          sess_error (c, "22P02", "value is not a number");
           return;
         }
       snprintf (num, sizeof num, "%lld", (long long)a + (long long)b);
@@ -268,8 +268,8 @@
   if (found)
     write_row (c, val, del);
   else if (c->st.ncols)
-    pg_rowdesc (c);
-  pg_complete (c, "%s %d", del ? "DELETE" : "UPDATE", found);
+    sess_rowdesc (c);
+  sess_complete (c, "%s %d", del ? "DELETE" : "UPDATE", found);
 }
 
 static void
@@ -306,7 +306,7 @@
     prep_set (&c->settings, c->st.table, c->st.val);
   else
     prep_clear (&c->settings);
-  pg_complete (c, c->st.kind == ST_SET ? "SET" : "DISCARD ALL");
+  sess_complete (c, c->st.kind == ST_SET ? "SET" : "DISCARD ALL");
 }
 
 static void
@@ -328,7 +328,7 @@
       run_show (c);
       break;
     case ST_CREATE:
-      pg_complete (c, "CREATE TABLE");
+      sess_complete (c, "CREATE TABLE");
       break;
     case ST_CONST:
       run_value (c, c->st.val);
@@ -337,7 +337,7 @@
       run_value (c, STR (""));
       break;
     case ST_SERIES:
-      pg_rowdesc (c);
+      sess_rowdesc (c);
       c->series = 0;
       run_series (c);
       break;
@@ -393,9 +393,9 @@
 
   if (c->tx == 'E' && c->st.kind != ST_COMMIT && c->st.kind != ST_ROLLBACK)
     {
-      pg_error (c, "25P02",
-                "current transaction is aborted, commands ignored until end "
-                "of transaction block");
+      sess_error (c, "25P02",
+                  "current transaction is aborted, commands ignored until end "
+                  "of transaction block");
       return;
     }
   c->service = service_time (c);
@@ -440,7 +440,7 @@
   if (c->wait == W_LOCK && c->sim->now >= c->due)
     {
       c->wait = W_NONE;
-      pg_error (c, "40001", "could not serialize access: the row is locked");
+      sess_error (c, "40001", "could not serialize access: the row is locked");
     }
 }
 
@@ -463,10 +463,10 @@
   else if (c->wait == W_CONNECT && c->sim->now >= c->due)
     {
       c->wait = W_NONE;
-      pg_welcome (c);
+      sess_welcome (c);
     }
   if (c->wait == W_NONE)
-    pg_next (c);
+    sess_next (c);
 }
 
 void
@@ -477,6 +477,6 @@
   if (c->wait == W_SERVICE)
     leave_service (c);
   c->wait = W_NONE;
-  pg_error (c, "57014", "canceling statement due to user request");
-  pg_next (c);
+  sess_error (c, "57014", "canceling statement due to user request");
+  sess_next (c);
 }
--- a/cmd/ppdbsim/loop.c
+++ b/cmd/ppdbsim/loop.c
@@ -130,7 +130,7 @@
   else if (c->kind == K_ANNOUNCE)
     announce_input (c);
   else
-    pg_input (c);
+    sess_input (c);
 }
 
 static unsigned
--- a/cmd/ppdbsim/pg.c
+++ b/cmd/ppdbsim/pg.c
@@ -1,3 +1,4 @@
+#include "pgwire.h"
 #include "sim.h"
 
 #include <arpa/inet.h>
@@ -7,72 +8,13 @@
 
 enum
 {
-  CODE_V3 = 196608,
-  CODE_CANCEL = 80877102,
-  CODE_SSL = 80877103,
-  CODE_GSS = 80877104,
   OID_TEXT = 25
 };
 
 /* ---- output ---- */
 
-static size_t
-begin (buf_t *b, char type)
-{
-  buf_add (b, &type, 1);
-  buf_room (b, 4);
-  b->n += 4;
-  return b->n - b->off;
-}
-
-/* end: writes the length of the message whose body began at AT.  */
-static void
-end (buf_t *b, size_t at)
-{
-  uint32_t n = htonl ((uint32_t)(b->n - b->off - at + 4));
-
-  memcpy (b->p + b->off + at - 4, &n, 4);
-}
-
-static void
-put16 (buf_t *b, int v)
-{
-  uint16_t n = htons ((uint16_t)v);
-
-  buf_add (b, &n, 2);
-}
-
-static void
-put32 (buf_t *b, uint32_t v)
-{
-  v = htonl (v);
-  buf_add (b, &v, 4);
-}
-
-static void
-put_cstr (buf_t *b, str_t s)
-{
-  buf_adds (b, s);
-  buf_add (b, "", 1);
-}
-
-static void
-empty (conn_t *c, char type)
-{
-  end (&c->out, begin (&c->out, type));
-}
-
-static void
-ready (conn_t *c)
-{
-  size_t at = begin (&c->out, 'Z');
-
-  buf_add (&c->out, &c->tx, 1);
-  end (&c->out, at);
-}
-
 void
-pg_error (conn_t *c, const char *state, const char *fmt, ...)
+sess_error (conn_t *c, const char *state, const char *fmt, ...)
 {
   char text[256];
   va_list ap;
@@ -80,15 +22,7 @@
   va_start (ap, fmt);
   vsnprintf (text, sizeof text, fmt, ap);
   va_end (ap);
-  size_t at = begin (&c->out, 'E');
-  buf_add (&c->out, "SERROR", 7);
-  buf_add (&c->out, "VERROR", 7);
-  buf_add (&c->out, "C", 1);
-  put_cstr (&c->out, str_of (state));
-  buf_add (&c->out, "M", 1);
-  put_cstr (&c->out, str_of (text));
-  buf_add (&c->out, "", 1);
-  end (&c->out, at);
+  pg_put_error (&c->out, "ERROR", state, str_of (text), (str_t){ 0 });
   ops_free (&c->ops);
   if (c->tx == 'T')
     c->tx = 'E';
@@ -101,47 +35,39 @@
 {
   if (st->ncols == 0)
     {
-      empty (c, 'n');
+      pg_put_plain (&c->out, 'n');
       return;
     }
-  size_t at = begin (&c->out, 'T');
-  put16 (&c->out, st->ncols);
+  size_t at = pg_begin (&c->out, 'T');
+  pg_put16 (&c->out, st->ncols);
   for (int i = 0; i < st->ncols; i++)
     {
-      put_cstr (&c->out, st->col[i]);
-      put32 (&c->out, 0);
-      put16 (&c->out, 0);
-      put32 (&c->out, OID_TEXT);
-      put16 (&c->out, -1);
-      put32 (&c->out, (uint32_t)-1);
-      put16 (&c->out, 0);
+      pg_putstr (&c->out, st->col[i]);
+      pg_put32 (&c->out, 0);
+      pg_put16 (&c->out, 0);
+      pg_put32 (&c->out, OID_TEXT);
+      pg_put16 (&c->out, -1);
+      pg_put32 (&c->out, (uint32_t)-1);
+      pg_put16 (&c->out, 0);
     }
-  end (&c->out, at);
+  pg_end (&c->out, at);
 }
 
 void
-pg_rowdesc (conn_t *c)
+sess_rowdesc (conn_t *c)
 {
   if (!c->ext)
     describe (c, &c->st);
 }
 
 void
-pg_row (conn_t *c, int n, const str_t *v)
+sess_row (conn_t *c, int n, const str_t *v)
 {
-  size_t at = begin (&c->out, 'D');
-
-  put16 (&c->out, n);
-  for (int i = 0; i < n; i++)
-    {
-      put32 (&c->out, (uint32_t)v[i].n);
-      buf_adds (&c->out, v[i]);
-    }
-  end (&c->out, at);
+  pg_put_row (&c->out, v, n);
 }
 
 void
-pg_complete (conn_t *c, const char *fmt, ...)
+sess_complete (conn_t *c, const char *fmt, ...)
 {
   char tag[64];
   va_list ap;
@@ -154,12 +80,10 @@
   if (!c->ext && c->rest.n == 0 && c->tx == 'I' && c->ops.n
       && !tx_end (c, true))
     {
-      pg_error (c, "25006", "this database is not the primary any more");
+      sess_error (c, "25006", "this database is not the primary any more");
       return;
     }
-  size_t at = begin (&c->out, 'C');
-  put_cstr (&c->out, str_of (tag));
-  end (&c->out, at);
+  pg_put_complete (&c->out, tag);
 }
 
 /* ---- simple query ---- */
@@ -179,14 +103,14 @@
 
   while (c->rest.n && c->wait == W_NONE)
     if (!parse_next (c->pool, &c->rest, NULL, 0, &c->st, &err))
-      pg_error (c, "42601", "%s", err);
+      sess_error (c, "42601", "%s", err);
     else if (c->st.kind != ST_EMPTY)
       stmt_start (c);
   if (c->wait != W_NONE)
     return;
   if (c->tx == 'I' && !tx_end (c, true))
-    pg_error (c, "25006", "this database is not the primary any more");
-  ready (c);
+    sess_error (c, "25006", "this database is not the primary any more");
+  pg_put_ready (&c->out, c->tx);
 }
 
 static void
@@ -198,104 +122,63 @@
   trim (&c->rest);
   c->ext = false;
   if (c->rest.n == 0)
-    empty (c, 'I');
+    pg_put_plain (&c->out, 'I');
   run_rest (c);
 }
 
 void
-pg_next (conn_t *c)
+sess_next (conn_t *c)
 {
   if (!c->ext && c->pid && c->rest.p)
     run_rest (c);
   if (c->wait == W_NONE)
     {
       c->rest = (str_t){ 0 };
-      pg_input (c);
+      sess_input (c);
     }
 }
 
 /* ---- extended query ---- */
 
-static str_t
-get_cstr (str_t *in)
-{
-  char *nul = in->n ? memchr (in->p, 0, in->n) : NULL;
-  size_t n = nul ? (size_t)(nul - in->p) : in->n;
-  str_t s = { in->p, n };
-
-  in->p += n + (nul != NULL);
-  in->n -= n + (nul != NULL);
-  return s;
-}
-
-static int
-get16 (str_t *in)
-{
-  if (in->n < 2)
-    return 0;
-  int v = (unsigned char)in->p[0] << 8 | (unsigned char)in->p[1];
-  in->p += 2;
-  in->n -= 2;
-  return v;
-}
-
-static int64_t
-get32 (str_t *in)
-{
-  uint32_t v;
-
-  if (in->n < 4)
-    return -1;
-  memcpy (&v, in->p, 4);
-  in->p += 4;
-  in->n -= 4;
-  return (int32_t)ntohl (v);
-}
-
 static void
-on_parse (conn_t *c, str_t in)
+on_parse (conn_t *c, const pgparse_t *m)
 {
-  str_t name = get_cstr (&in);
-  str_t sql = get_cstr (&in);
-  str_t rest = sql;
+  str_t rest = m->text;
   const char *err;
 
   if (!parse_next (c->pool, &rest, NULL, 0, &c->st, &err))
     {
-      pg_error (c, "42601", "%s", err);
+      sess_error (c, "42601", "%s", err);
       return;
     }
-  prep_set (&c->prepared, name, sql);
-  empty (c, '1');
+  prep_set (&c->prepared, m->name, m->text);
+  pg_put_plain (&c->out, '1');
 }
 
 static void
-on_bind (conn_t *c, str_t in)
+on_bind (conn_t *c, const pgbind_t *m)
 {
-  str_t portal = get_cstr (&in);
-  prep_t *from = prep_find (c->prepared, get_cstr (&in));
+  prep_t *from = prep_find (c->prepared, m->name);
+  pgcur_t in = pg_cur (m->rest);
 
   if (from == NULL)
     {
-      pg_error (c, "26000", "prepared statement does not exist");
+      sess_error (c, "26000", "prepared statement does not exist");
       return;
     }
-  prep_set (&c->portals, portal, from->sql);
+  prep_set (&c->portals, m->portal, from->sql);
   prep_t *p = c->portals;
-  for (int formats = get16 (&in); formats > 0; formats--)
-    get16 (&in);
-  p->nparams = get16 (&in);
+  for (int formats = pg_get16 (&in); formats > 0; formats--)
+    pg_get16 (&in);
+  p->nparams = pg_get16 (&in);
   p->param = calloc ((size_t)p->nparams + 1, sizeof *p->param);
   for (int i = 0; p->param && i < p->nparams; i++)
     {
-      int64_t n = get32 (&in);
-      if (n < 0 || (size_t)n > in.n)
-        continue;
-      p->param[i] = heap_dup ((str_t){ in.p, (size_t)n });
-      in.p += n;
-      in.n -= (size_t)n;
+      int32_t n = pg_get32 (&in);
+      if (n >= 0)
+        p->param[i] = heap_dup (pg_getbytes (&in, (size_t)n));
     }
-  empty (c, '2');
+  pg_put_plain (&c->out, '2');
 }
 
 static int
@@ -311,29 +194,25 @@
 }
 
 static void
-on_describe (conn_t *c, str_t in)
+on_describe (conn_t *c, const pgname_t *m)
 {
-  char what = in.n ? in.p[0] : 0;
   const char *err;
   stmt_t st;
+  prep_t *p = prep_find (m->kind == 'S' ? c->prepared : c->portals, m->name);
 
-  in.p++;
-  in.n--;
-  prep_t *p
-      = prep_find (what == 'S' ? c->prepared : c->portals, get_cstr (&in));
   if (p == NULL)
     {
-      pg_error (c, "26000", "no such statement or portal");
+      sess_error (c, "26000", "no such statement or portal");
       return;
     }
-  if (what == 'S')
+  if (m->kind == 'S')
     {
       int n = count_params (p->sql);
-      size_t at = begin (&c->out, 't');
-      put16 (&c->out, n);
+      size_t at = pg_begin (&c->out, 't');
+      pg_put16 (&c->out, n);
       while (n-- > 0)
-        put32 (&c->out, OID_TEXT);
-      end (&c->out, at);
+        pg_put32 (&c->out, OID_TEXT);
+      pg_end (&c->out, at);
     }
   str_t sql = p->sql;
   parse_next (c->pool, &sql, p->param, p->nparams, &st, &err);
@@ -341,14 +220,14 @@
 }
 
 static void
-on_execute (conn_t *c, str_t in)
+on_execute (conn_t *c, const pgexec_t *m)
 {
-  prep_t *p = prep_find (c->portals, get_cstr (&in));
+  prep_t *p = prep_find (c->portals, m->portal);
   const char *err;
 
   if (p == NULL)
     {
-      pg_error (c, "34000", "portal does not exist");
+      sess_error (c, "34000", "portal does not exist");
       return;
     }
   str_t sql = str_dup (c->pool, p->sql);
@@ -357,9 +236,9 @@
   for (int i = 0; i < p->nparams; i++)
     param[i] = str_dup (c->pool, p->param[i]);
   if (!parse_next (c->pool, &sql, param, p->nparams, &c->st, &err))
-    pg_error (c, "42601", "%s", err);
+    sess_error (c, "42601", "%s", err);
   else if (c->st.kind == ST_EMPTY)
-    empty (c, 'I');
+    pg_put_plain (&c->out, 'I');
   else
     stmt_start (c);
 }
@@ -369,106 +248,90 @@
 {
   c->skip = false;
   if (c->tx == 'I' && !tx_end (c, true))
-    pg_error (c, "25006", "this database is not the primary any more");
+    sess_error (c, "25006", "this database is not the primary any more");
   c->skip = false;
   c->ext = false;
-  ready (c);
+  pg_put_ready (&c->out, c->tx);
 }
 
 static void
-on_close (conn_t *c, str_t in)
+on_close (conn_t *c, const pgname_t *m)
 {
-  char what = in.n ? in.p[0] : 0;
-
-  in.p++;
-  in.n--;
-  prep_drop (what == 'S' ? &c->prepared : &c->portals, get_cstr (&in));
-  empty (c, '3');
+  prep_drop (m->kind == 'S' ? &c->prepared : &c->portals, m->name);
+  pg_put_plain (&c->out, '3');
 }
 
 static void
 extended (conn_t *c, char type, str_t body)
 {
+  err_t e = { 0 };
+  union
+  {
+    pgparse_t parse;
+    pgbind_t bind;
+    pgname_t name;
+    pgexec_t exec;
+  } m;
+
   c->ext = true;
   if (type == 'S')
     on_sync (c);
-  else if (c->skip)
+  else if (c->skip || type == 'H')
     return;
-  else if (type == 'P')
-    on_parse (c, body);
-  else if (type == 'B')
-    on_bind (c, body);
-  else if (type == 'D' && body.n)
-    on_describe (c, body);
-  else if (type == 'E')
-    on_execute (c, body);
-  else if (type == 'C' && body.n)
-    on_close (c, body);
-  else if (type != 'H')
-    pg_error (c, "08P01", "unsupported message type %d", type);
+  else if (type == 'P' && pg_parse (body, &m.parse, &e))
+    on_parse (c, &m.parse);
+  else if (type == 'B' && pg_bind (body, &m.bind, &e))
+    on_bind (c, &m.bind);
+  else if (type == 'D' && pg_name (body, &m.name, &e))
+    on_describe (c, &m.name);
+  else if (type == 'E' && pg_exec (body, &m.exec, &e))
+    on_execute (c, &m.exec);
+  else if (type == 'C' && pg_name (body, &m.name, &e))
+    on_close (c, &m.name);
+  else
+    sess_error (c, "08P01", "unsupported or malformed message of type %d",
+                type);
 }
 
 /* ---- connections ---- */
 
-static void
-parameter (conn_t *c, const char *name, const char *v)
-{
-  size_t at = begin (&c->out, 'S');
-
-  put_cstr (&c->out, str_of (name));
-  put_cstr (&c->out, str_of (v));
-  end (&c->out, at);
-}
-
 void
-pg_welcome (conn_t *c)
+sess_welcome (conn_t *c)
 {
-  size_t at = begin (&c->out, 'R');
-
-  put32 (&c->out, 0);
-  end (&c->out, at);
-  parameter (c, "server_version", "15.0");
-  parameter (c, "server_encoding", "UTF8");
-  parameter (c, "client_encoding", "UTF8");
-  parameter (c, "DateStyle", "ISO, MDY");
-  parameter (c, "TimeZone", "UTC");
-  parameter (c, "integer_datetimes", "on");
-  parameter (c, "standard_conforming_strings", "on");
-  at = begin (&c->out, 'K');
-  put32 (&c->out, c->pid);
-  put32 (&c->out, c->secret);
-  end (&c->out, at);
-  ready (c);
+  static const char *const status[][2] = {
+    { "server_version", "15.0" },
+    { "server_encoding", "UTF8" },
+    { "client_encoding", "UTF8" },
+    { "DateStyle", "ISO, MDY" },
+    { "TimeZone", "UTC" },
+    { "integer_datetimes", "on" },
+    { "standard_conforming_strings", "on" },
+  };
+
+  pg_put_auth_ok (&c->out);
+  for (size_t i = 0; i < sizeof status / sizeof *status; i++)
+    pg_put_status (&c->out, str_of (status[i][0]), str_of (status[i][1]));
+  pg_put_key (&c->out, c->pid, c->secret);
+  pg_put_ready (&c->out, c->tx);
 }
 
 static void
-on_cancel (conn_t *c, str_t in)
+on_cancel (conn_t *c, const pgstart_t *m)
 {
-  int64_t pid = get32 (&in);
-  int64_t secret = get32 (&in);
-
   for (conn_t *o = c->sim->conns; o; o = o->next)
-    if (o->kind == K_PG && !o->gone && o->pid == (uint32_t)pid
-        && o->secret == (uint32_t)secret)
+    if (o->kind == K_PG && !o->gone && o->pid == m->pid
+        && o->secret == m->secret)
       stmt_cancel (o);
   conn_close (c);
 }
 
 static void
-on_startup (conn_t *c, str_t in)
+on_startup (conn_t *c, const pgstart_t *m)
 {
   sim_t *s = c->sim;
 
-  while (in.n > 1)
-    {
-      str_t name = get_cstr (&in);
-      str_t v = get_cstr (&in);
-      if (str_eq (name, STR ("user")))
-        c->control = str_eq (v, STR ("pimentopost_control"));
-      if (str_eq (name, STR ("database")))
-        c->fault = str_eq (v, STR ("ppdbsim"));
-    }
-  c->fault = c->fault && c->control;
+  c->control = str_eq (m->user, STR ("pimentopost_control"));
+  c->fault = c->control && str_eq (m->database, STR ("ppdbsim"));
   c->kind = K_PG;
   c->tx = 'I';
   c->pid = ++s->pids;
@@ -477,14 +340,21 @@
   int free_for = c->control ? s->limit : s->limit - RESERVED;
   if (!c->fault && conn_count (s) > free_for)
     {
-      pg_error (c, "53300", "sorry, too many clients already");
+      sess_error (c, "53300", "sorry, too many clients already");
       c->eof = true;
       return;
     }
   c->wait = W_CONNECT;
   c->due = s->now + (c->fault ? 0 : s->connect_ms);
-  if (c->due <= s->now)
-    stmt_wake (c);
+}
+
+static bool
+is_replica (const conn_t *c)
+{
+  uint32_t code = htonl (REPL_CODE);
+
+  return buf_len (&c->in) >= 8
+         && memcmp (c->in.p + c->in.off + 4, &code, 4) == 0;
 }
 
 /* on_first: a connection's first message.  False when more bytes are
@@ -492,67 +362,55 @@
 static bool
 on_first (conn_t *c)
 {
-  str_t in = buf_str (&c->in);
-  int64_t n = get32 (&in);
-  int64_t code = get32 (&in);
+  pgstart_t m;
+  err_t e;
 
-  if (n < 0 || code < 0)
-    return false;
-  if (n < 8 || n > IN_MAX)
+  if (is_replica (c))
     {
-      conn_close (c);
+      buf_take (&c->in, 8);
+      repl_accept (c);
       return false;
     }
-  if ((int64_t)buf_len (&c->in) < n)
+  int got = pg_startup (&c->in, &m, &e);
+  if (got < 0)
+    conn_close (c);
+  if (got <= 0)
     return false;
-  in.n = (size_t)n - 8;
-  str_t body = str_dup (c->pool, in);
-  buf_take (&c->in, (size_t)n);
-  if (code == CODE_SSL || code == CODE_GSS)
-    buf_add (&c->out, "N", 1);
-  else if (code == CODE_CANCEL)
-    on_cancel (c, body);
-  else if (code == REPL_CODE)
-    repl_accept (c);
-  else if (code == CODE_V3)
-    on_startup (c, body);
+  if (m.kind == PG_START_SESSION)
+    on_startup (c, &m);
+  else if (m.kind == PG_START_CANCEL)
+    on_cancel (c, &m);
   else
-    conn_close (c);
-  return !c->gone && c->kind != K_REPLICA;
+    buf_add (&c->out, "N", 1);
+  buf_take (&c->in, m.size);
+  return !c->gone;
 }
 
 static bool
 on_message (conn_t *c)
 {
-  if (buf_len (&c->in) < 5)
-    return false;
-  str_t in = buf_str (&c->in);
-  char type = in.p[0];
-  in.p++;
-  in.n--;
-  int64_t n = get32 (&in);
-  if (n < 4 || n > IN_MAX)
-    {
-      conn_close (c);
-      return false;
-    }
-  if (buf_len (&c->in) < (size_t)n + 1)
+  pgmsg_t m;
+  err_t e;
+  int got = pg_message (&c->in, PG_MAX_MESSAGE, &m, &e);
+
+  if (got < 0)
+    conn_close (c);
+  if (got <= 0)
     return false;
-  in.n = (size_t)n - 4;
   apr_pool_clear (c->pool);
-  str_t body = str_dup (c->pool, in);
-  buf_take (&c->in, (size_t)n + 1);
-  if (type == 'X')
+  str_t body = str_dup (c->pool, m.body);
+  buf_take (&c->in, m.size);
+  if (m.type == 'X')
     conn_close (c);
-  else if (type == 'Q')
+  else if (m.type == 'Q')
     simple_query (c, body);
   else
-    extended (c, type, body);
+    extended (c, m.type, body);
   return !c->gone;
 }
 
 void
-pg_input (conn_t *c)
+sess_input (conn_t *c)
 {
   /* A message that makes the session wait leaves the rest unread.  */
   while (!c->gone && c->wait == W_NONE
--- a/cmd/ppdbsim/sim.h
+++ b/cmd/ppdbsim/sim.h
@@ -321,15 +321,15 @@
 
 /* ---- pg.c: PostgreSQL protocol; prep.c: lists of named texts ---- */
 
-void pg_input (conn_t *c);
-void pg_next (conn_t *c); /* after a statement has ended */
-void pg_error (conn_t *c, const char *state, const char *fmt, ...)
+void sess_input (conn_t *c);
+void sess_next (conn_t *c); /* after a statement has ended */
+void sess_error (conn_t *c, const char *state, const char *fmt, ...)
     __attribute__ ((format (printf, 3, 4)));
-void pg_rowdesc (conn_t *c);
-void pg_row (conn_t *c, int n, const str_t *v);
-void pg_complete (conn_t *c, const char *fmt, ...)
+void sess_rowdesc (conn_t *c);
+void sess_row (conn_t *c, int n, const str_t *v);
+void sess_complete (conn_t *c, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
-void pg_welcome (conn_t *c);
+void sess_welcome (conn_t *c);
 void prep_set (prep_t **list, str_t name, str_t sql);
 prep_t *prep_find (prep_t *list, str_t name);
 void prep_drop (prep_t **list, str_t name);
