--- a/cmd/ppdbsim/exec.c
+++ b/cmd/ppdbsim/exec.c
@@ -263,6 +263,9 @@
       snprintf (num, sizeof num, "%lld", (long long)a + (long long)b);
       val = str_of (num);
     }
+  else if (found && c->st.append)
+    val = str_fmt (c->pool, STR_FMT STR_FMT, STR_ARG (val),
+                   STR_ARG (c->st.val));
   else if (!del)
     val = c->st.val;
   if (found)
--- a/cmd/ppdbsim/parse.c
+++ b/cmd/ppdbsim/parse.c
@@ -241,13 +241,15 @@
     {
       st->add = true;
       next (x);
-      if (x->type == T_TEXT && x->tok.n && x->tok.p[0] == '-')
-        st->val = value (x);
-      else
+      if (accept_word (x, "|"))
         {
-          expect (x, "+");
-          st->val = value (x);
+          st->add = false;
+          st->append = true;
+          expect (x, "|");
         }
+      else if (x->type != T_TEXT)
+        expect (x, "+");
+      st->val = value (x);
     }
   else
     st->val = value (x);
--- a/cmd/ppdbsim/sim.h
+++ b/cmd/ppdbsim/sim.h
@@ -88,6 +88,7 @@
   str_t id;
   str_t val;
   bool add;      /* val = val + VAL */
+  bool append;   /* val = val || VAL */
   bool readonly; /* BEGIN READ ONLY */
   int64_t n;     /* ms of a sleep, rows of a series */
   int ncols;
