--- a/test/test_control_failover.c
+++ b/test/test_control_failover.c
@@ -257,18 +257,12 @@
 int
 main (void)
 {
-  const tests_t t[] = { running_primary_is_adopted,
-                        first_primary_is_promoted,
-                        most_advanced_is_promoted,
-                        old_primary_follows,
-                        no_majority_no_promotion,
-                        one_observer_is_not_enough,
-                        second_loss_after_repair,
-                        flapping_group,
-                        resumed_by_next_leader,
-                        new_leader_waits,
-                        lost_disk_does_not_count,
-                        replicas_lost_the_primary,
+  const tests_t t[] = { running_primary_is_adopted, first_primary_is_promoted,
+                        most_advanced_is_promoted,  old_primary_follows,
+                        no_majority_no_promotion,   one_observer_is_not_enough,
+                        second_loss_after_repair,   flapping_group,
+                        resumed_by_next_leader,     new_leader_waits,
+                        lost_disk_does_not_count,   replicas_lost_the_primary,
                         leaving_primary_is_replaced };
   int failed;
 
--- a/test/world.c
+++ b/test/world.c
@@ -399,14 +399,15 @@
         }
       if (via != i || !b->alive || b->frozen)
         continue;
-      v[n++] = (announce_t){ .group = str_fmt (p, "g%d", b->group),
-                             .name = str_of (b->name),
-                             .address = str_of (b->address),
-                             .zone = STR ("z"),
-                             .term = wdb_term (b),
-                             .position = b->pos,
-                             .leaving = b->leaving,
-                             .age = (int64_t)rng_below (&w->rng, 20) };
+      v[n] = (announce_t){ .group = str_fmt (p, "g%d", b->group),
+                           .name = str_of (b->name),
+                           .address = str_of (b->address),
+                           .zone = STR ("z"),
+                           .term = wdb_term (b),
+                           .position = b->pos,
+                           .leaving = b->leaving,
+                           .age = (int64_t)rng_below (&w->rng, 20) };
+      n++;
     }
   return n;
 }
@@ -455,8 +456,7 @@
                 .announces = { ann, announces (w, i, p, ann) },
                 .uses = { uses, W_DB } };
   for (int d = 0; d < W_DB; d++)
-    uses[d]
-        = (use_t){ str_of (w->db[d].name), x->open[d], x->want[d] };
+    uses[d] = (use_t){ str_of (w->db[d].name), x->open[d], x->want[d] };
   rpc_pack (&post (w, MSG_RENEWAL, i, to)->b, MSG_RENEW, &r);
   apr_pool_destroy (p);
 }
@@ -500,9 +500,8 @@
   const grant_t *g = rpc_decode (p, buf_str (&m->b), &type, &e);
 
   if (later (w, m, x->frozen) || !x->alive
-      || !world_reach (w, x->zone, m->from % W_ZONES)
-      || g->seq > x->seq || !view_grant (x->view, g, world_ent_now (w, m->to),
-                                         &fresh, &e))
+      || !world_reach (w, x->zone, m->from % W_ZONES) || g->seq > x->seq
+      || !view_grant (x->view, g, world_ent_now (w, m->to), &fresh, &e))
     return;
   if (g->status != GRANT_NOT_LEADER && g->raft_term > x->raft_term)
     x->raft_term = g->raft_term;
