--- a/lib/entry/xchg.c
+++ b/lib/entry/xchg.c
@@ -88,7 +88,7 @@
 static xact_t
 prefix (xchg_t *x, size_t n)
 {
-  if (!x->covered || (x->plan.kind == PLAN_KEYED && x->failed))
+  if (!x->covered || x->key_taken)
     return X_DROP;
   if (x->plan.kind == PLAN_BLOCK || (x->began && !confirms (x)))
     return X_FORWARD;
