--- a/test/dbsim.sh
+++ b/test/dbsim.sh
@@ -4,7 +4,7 @@
 set -u
 B=$1
 . test/cluster.inc
-A=24011 Bp=24012 C=24013
+A=25911 Bp=25912 C=25913
 
 db () { # NAME PORT OPTIONS...
   n=$1 p=$2; shift 2
--- a/test/load.sh
+++ b/test/load.sh
@@ -4,7 +4,7 @@
 set -u
 B=$1
 . test/cluster.inc
-P=24021 G=sticker-ledger-1
+P=25921 G=sticker-ledger-1
 db () { spawn db "$B/bin/ppdbsim" -l 127.0.0.1:$P -n a --group $G --primary --members 1 --connections 60; until_true 5 answers $P 1 "SELECT 1" || fail "no database"; }
 load () { "$B/bin/ppload" -q examples/tan.yaml --db $G=127.0.0.1:$P -r 200 -s "$1" -c 30 --baseline --mix sale=5,route-adjustment=5,route-view=10,stock-lookup=10 >"$W/out" 2>>"$W/load.log"; }
 rule () { grep -q "$1 [1-9]" "$W/out" || { cat "$W/out"; fail "$1 not found"; }; }
