--- /dev/null
+++ b/cmd/pimentopost/wait.c
@@ -0,0 +1,112 @@
+#include "tool.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <yaml.h>
+
+enum
+{
+  POLL = 50 /* ms between two queries */
+};
+
+/* JSON is read with the YAML parser, of which it is a subset.  */
+static const yaml_node_t *
+get (yaml_document_t *d, const yaml_node_t *map, const char *key)
+{
+  if (map == NULL || map->type != YAML_MAPPING_NODE)
+    return NULL;
+  for (yaml_node_pair_t *p = map->data.mapping.pairs.start;
+       p < map->data.mapping.pairs.top; p++)
+    {
+      const yaml_node_t *k = yaml_document_get_node (d, p->key);
+      if (k && k->type == YAML_SCALAR_NODE
+          && strcmp ((const char *)k->data.scalar.value, key) == 0)
+        return yaml_document_get_node (d, p->value);
+    }
+  return NULL;
+}
+
+static int64_t
+get_int (yaml_document_t *d, const yaml_node_t *map, const char *key)
+{
+  const yaml_node_t *n = get (d, map, key);
+  int64_t v = -1;
+
+  if (n && n->type == YAML_SCALAR_NODE)
+    str_int (str_of ((const char *)n->data.scalar.value), &v);
+  return v;
+}
+
+static bool
+is (yaml_document_t *d, const yaml_node_t *map, const char *key,
+    const char *value)
+{
+  const yaml_node_t *n = get (d, map, key);
+
+  return n && n->type == YAML_SCALAR_NODE
+         && strcmp ((const char *)n->data.scalar.value, value) == 0;
+}
+
+/* Entry instances that are up and behind INDEX; -1 when the answer is not
+   that of a leader, who alone hears from the entry instances.  */
+static int
+behind (yaml_document_t *d, int64_t index)
+{
+  const yaml_node_t *rows = yaml_document_get_root_node (d);
+  bool leader = false;
+  int n = 0;
+
+  if (rows == NULL || rows->type != YAML_SEQUENCE_NODE)
+    return -1;
+  for (yaml_node_item_t *i = rows->data.sequence.items.start;
+       i < rows->data.sequence.items.top; i++)
+    {
+      const yaml_node_t *row = yaml_document_get_node (d, *i);
+      leader = leader || is (d, row, "role", "leader");
+      n += get (d, row, "entry") && is (d, row, "state", "up")
+           && get_int (d, row, "config_index") < index;
+    }
+  return leader ? n : -1;
+}
+
+static int
+count_behind (str_t json, int64_t index)
+{
+  yaml_parser_t p;
+  yaml_document_t d;
+  int n = -1;
+
+  if (!yaml_parser_initialize (&p))
+    return -1;
+  yaml_parser_set_input_string (
+      &p, (const unsigned char *)(json.p ? json.p : ""), json.n);
+  if (yaml_parser_load (&p, &d))
+    {
+      n = behind (&d, index);
+      yaml_document_delete (&d);
+    }
+  yaml_parser_delete (&p);
+  return n;
+}
+
+bool
+wait_in_force (tool_t *t, int64_t index, msec_t until, err_t *e)
+{
+  query_t q = { .what = STR ("status"), .json = true };
+  int n = -1;
+
+  while (msec_now () < until)
+    {
+      query_resp_t *r = call_query (t, &q, until, e);
+      if (r == NULL)
+        return false;
+      n = r->ok ? count_behind (r->text, index) : -1;
+      if (n == 0)
+        return true;
+      msec_sleep (POLL);
+    }
+  return err_set (e, ERR_TIMEOUT, "submission",
+                  n < 0 ? "accepted, but no leader tells who has it"
+                        : "accepted, but %d entry instances are behind",
+                  n);
+}
