--- a/include/admit.h
+++ b/include/admit.h
@@ -71,7 +71,7 @@
 typedef struct
 {
   double limit;    /* learned concurrency limit */
-  double service;  /* ms, learned time at the database; 0: none yet */
+  double service;  /* ms, learned mean time at the database; 0: none yet */
   double baseline; /* ms, latency without queueing; 0: none yet */
   int running;
   int waiting;
--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -5,6 +5,9 @@
 
 #include <math.h>
 
+/* Spreads over the mean service time that a deadline must leave.  */
+static const double spreads = 3;
+
 struct admit
 {
   queue_t queue;
@@ -46,6 +49,14 @@
   return wait_time (a, queue_ahead (&a->queue, &w));
 }
 
+/* ms that a request probably takes at the database.  A mean alone starts many
+   that end late and have used a slot for nothing.  */
+static double
+likely_service (const admit_t *a)
+{
+  return a->limit.service + spreads * a->limit.spread;
+}
+
 /* With nothing running, a request is let through whatever the learned service
    time: a time learned from a stall would otherwise refuse everything and
    never be corrected.  */
@@ -54,7 +65,7 @@
 {
   if (a->running == 0)
     return w->deadline <= now;
-  return (double)now + wait + a->limit.service >= (double)w->deadline;
+  return (double)now + wait + likely_service (a) >= (double)w->deadline;
 }
 
 static bool
@@ -88,7 +99,7 @@
 admit_next (admit_t *a, msec_t now)
 {
   wait_t w;
-  double latest = (double)now + (a->running ? a->limit.service : 0);
+  double latest = (double)now + (a->running ? likely_service (a) : 0);
 
   if (a->nout)
     return (admit_action_t){ ADMIT_FULL, a->out[--a->nout].id };
@@ -133,7 +144,7 @@
   if (a->queue.n == 0)
     return -1;
   return a->queue.earliest
-         - (a->running ? (msec_t)floor (a->limit.service) : 0);
+         - (a->running ? (msec_t)floor (likely_service (a)) : 0);
 }
 
 void
--- a/lib/admit/limit.c
+++ b/lib/admit/limit.c
@@ -100,12 +100,23 @@
   new_window (l);
 }
 
+static void
+learn_service (limit_t *l, double latency)
+{
+  if (l->service <= 0)
+    {
+      l->service = latency;
+      return;
+    }
+  double off = latency - l->service;
+  l->service += service_weight * off;
+  l->spread += service_weight * (fabs (off) - l->spread);
+}
+
 void
 limit_sample (limit_t *l, double latency, int running)
 {
-  l->service = l->service <= 0
-                   ? latency
-                   : l->service + service_weight * (latency - l->service);
+  learn_service (l, latency);
   if (l->rest > 0)
     l->rest--;
   /* Requests from before the limit was lowered still queue with many.  */
--- a/lib/admit/limit.h
+++ b/lib/admit/limit.h
@@ -17,6 +17,7 @@
   double cap;
   double base;    /* ms, latency without queueing; 0: unknown */
   double service; /* ms, mean latency at present; 0: unknown */
+  double spread;  /* ms, mean deviation from it */
   double sum;     /* of this window */
   int n;
   int peak;    /* most requests running in this window */
