Do not take idle entry instances for observers that lost the primary

Cause: an entry instance without traffic reported every database as not reachable, and an opinion from before a promotion counted at once for the new primary. At the start of Tan's deployment each group went through seven promotions in a second. Change: an entry instance reports a database as not reachable only after a failure; the grace after a promotion starts the opinions anew.

--- a/lib/control/detect.c
+++ b/lib/control/detect.c
@@ -141,7 +141,7 @@
   for (int i = 0; i < m->nobs; i++)
     {
       m->obs[i].ok = now;
-      m->obs[i].bad_since = 0;
+      m->obs[i].bad_since = m->obs[i].reachable ? 0 : now;
     }
 }
 
--- a/lib/entry/timer.c
+++ b/lib/entry/timer.c
@@ -134,7 +134,11 @@
 static void
 report_db (const worker_t *w, const dbpool_t *d, report_db_t *to)
 {
-  *to = (report_db_t){ .reachable = w->now - d->ok < 4 * REPORT,
+  const db_t *known = view_db (w->view, d->name);
+
+  /* An instance without traffic has no opinion: only failures count as not
+     reaching the database.  */
+  *to = (report_db_t){ .reachable = known == NULL || known->failures == 0,
                        .primary = d->primary,
                        .ok_age = d->ok ? w->now - d->ok : -1,
                        .term = d->term,
--- a/test/test_control_failover.c
+++ b/test/test_control_failover.c
@@ -149,6 +149,28 @@
 }
 END_TEST
 
+/* Guards against opinions from before a promotion deposing the new primary at
+   once: seven promotions within a second were seen at a start.  */
+START_TEST (opinions_restart_with_a_promotion)
+{
+  world_t *w = start (20);
+  mem_t *m = world_mem (w, 0);
+
+  for (int i = 0; i < m->nobs; i++)
+    {
+      m->obs[i].control = m->obs[i].reachable = false;
+      m->obs[i].at = w->now;
+      m->obs[i].bad_since = w->now - CTL_LOST;
+    }
+  ck_assert_ptr_nonnull (
+      detect_lost (world_leader (w), world_group (w, 0), w->now));
+  detect_grace (m, w->now);
+  ck_assert_ptr_null (
+      detect_lost (world_leader (w), world_group (w, 0), w->now));
+  world_free (w);
+}
+END_TEST
+
 /* Guards against a flapping primary causing one promotion after another.  */
 START_TEST (flapping_group)
 {
@@ -257,12 +279,19 @@
 int
 main (void)
 {
-  const tests_t t[] = { running_primary_is_adopted, first_primary_is_promoted,
-                        most_advanced_is_promoted,  old_primary_follows,
-                        no_majority_no_promotion,   one_observer_is_not_enough,
-                        second_loss_after_repair,   flapping_group,
-                        resumed_by_next_leader,     new_leader_waits,
-                        lost_disk_does_not_count,   replicas_lost_the_primary,
+  const tests_t t[] = { running_primary_is_adopted,
+                        first_primary_is_promoted,
+                        most_advanced_is_promoted,
+                        old_primary_follows,
+                        no_majority_no_promotion,
+                        one_observer_is_not_enough,
+                        second_loss_after_repair,
+                        flapping_group,
+                        opinions_restart_with_a_promotion,
+                        resumed_by_next_leader,
+                        new_leader_waits,
+                        lost_disk_does_not_count,
+                        replicas_lost_the_primary,
                         leaving_primary_is_replaced };
   int failed;
 
