--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -223,6 +223,7 @@
   msec_t removed_at;
   bool told_unknown;
   bool stopping;
+  int64_t cfg_index; /* of the configuration that it has in force */
   msec_t added; /* when the configuration first named it; 0 unknown */
   msec_t proposed;
 } ent_t;
--- a/lib/control/entry.c
+++ b/lib/control/entry.c
@@ -55,6 +55,7 @@
   t->boot = r->boot;
   t->seen = now;
   t->stopping = r->stopping;
+  t->cfg_index = r->cfg_index;
   if (!t->up && !r->stopping)
     propose (c, t, 1, "renewed", now);
   else if (t->up && r->stopping)
--- a/lib/control/query.c
+++ b/lib/control/query.c
@@ -209,6 +209,7 @@
                 str_of (t->removed ? "removed"
                         : t->up    ? "up"
                                    : "down"));
+      rows_int (w, "config_index", c->ready && t->boot ? t->cfg_index : -1);
       rows_int (w, "renewed_ms", c->ready && t->boot ? now - t->seen : -1);
       rows_end (w);
     }
