--- a/cmd/pimentopost/wait.c
+++ b/cmd/pimentopost/wait.c
@@ -6,7 +6,11 @@
 
 enum
 {
-  POLL = 50 /* ms between two queries */
+  POLL = 50, /* ms between two queries */
+  /* Entry instances renew every 100 ms, and one that the configuration names
+     for the first time is known to control only after that.  */
+  SETTLE = 150,
+  RECENT = 1000 /* ms since the last renewal of a reachable instance */
 };
 
 /* JSON is read with the YAML parser, of which it is a subset.  */
@@ -47,8 +51,16 @@
          && strcmp ((const char *)n->data.scalar.value, value) == 0;
 }
 
-/* Entry instances that are up and behind INDEX; -1 when the answer is not
-   that of a leader, who alone hears from the entry instances.  */
+static bool
+reachable (yaml_document_t *d, const yaml_node_t *row)
+{
+  int64_t renewed = get_int (d, row, "renewed_ms");
+
+  return is (d, row, "state", "up") || (renewed >= 0 && renewed < RECENT);
+}
+
+/* Entry instances that are reachable and behind INDEX; -1 when the answer is
+   not that of a leader, who alone hears from the entry instances.  */
 static int
 behind (yaml_document_t *d, int64_t index)
 {
@@ -63,7 +75,7 @@
     {
       const yaml_node_t *row = yaml_document_get_node (d, *i);
       leader = leader || is (d, row, "role", "leader");
-      n += get (d, row, "entry") && is (d, row, "state", "up")
+      n += get (d, row, "entry") && reachable (d, row)
            && get_int (d, row, "config_index") < index;
     }
   return leader ? n : -1;
@@ -95,6 +107,7 @@
   query_t q = { .what = STR ("status"), .json = true };
   int n = -1;
 
+  msec_sleep (SETTLE);
   while (msec_now () < until)
     {
       query_resp_t *r = call_query (t, &q, until, e);
