Register the listening socket exclusively with each loop

epoll_ctl refuses EPOLL_CTL_MOD with EPOLLEXCLUSIVE by EINVAL, so that with more than one loop nothing was registered and no connection was accepted.

--- a/lib/entry/loop.c
+++ b/lib/entry/loop.c
@@ -77,8 +77,10 @@
   w->listen = (io_t){ .fd = listen_fd, .kind = IO_LISTEN };
   w->grants = (io_t){ .fd = ring_fd (w->ring), .kind = IO_GRANTS };
   w->now = msec_now ();
-  io_watch (w, &w->listen,
-            EPOLLIN | (in->set->workers > 1 ? EPOLLEXCLUSIVE : 0));
+  /* One loop, not all, wakes up for a connection.  */
+  struct epoll_event ev
+      = { .events = EPOLLIN | EPOLLEXCLUSIVE, .data.ptr = &w->listen };
+  epoll_ctl (w->epoll, EPOLL_CTL_ADD, listen_fd, &ev);
   io_watch (w, &w->grants, EPOLLIN);
   return w;
 }
