--- a/test/rules.mk
+++ b/test/rules.mk
@@ -19,3 +19,7 @@
 	  -timeout=30 -artifact_prefix=$(FB)/ -print_final_stats=1 $(FB)/corpus/raft test/corpus/raft
 
 .PHONY: fuzz-raft
+
+demo: deps
+	@$(MAKE) --no-print-directory all
+	@timeout 115 tools/demo $(B)
