--- a/cmd/pimentopostd/act.c
+++ b/cmd/pimentopostd/act.c
@@ -131,9 +131,11 @@
 publish (decide_t *d)
 {
   int64_t version = 0;
+  const member_t *m = raft_member (d->raft, raft_id (d->raft));
 
   control_config (d->control, &version, NULL, NULL);
   atomic_store (&d->shown_role, raft_role (d->raft));
+  atomic_store (&d->shown_member, m ? 1 + m->voter : 0);
   atomic_store (&d->shown_term, raft_term (d->raft));
   atomic_store (&d->shown_commit, raft_commit (d->raft));
   atomic_store (&d->shown_version, version);
@@ -148,14 +150,16 @@
 bool
 decide_health (void *arg, buf_t *out)
 {
+  static const char *const member[] = { "none", "learner", "voter" };
   decide_t *d = arg;
   bool leader = atomic_load (&d->shown_leader);
 
-  buf_fmt (out, "role=%s leader=%s term=%lld commit=%lld version=%lld\n",
-           atomic_load (&d->shown_role) == RAFT_LEADER ? "leader" : "follower",
-           leader ? "known" : "unknown",
-           (long long)atomic_load (&d->shown_term),
-           (long long)atomic_load (&d->shown_commit),
-           (long long)atomic_load (&d->shown_version));
+  buf_fmt (
+      out, "role=%s leader=%s member=%s term=%lld commit=%lld version=%lld\n",
+      atomic_load (&d->shown_role) == RAFT_LEADER ? "leader" : "follower",
+      leader ? "known" : "unknown", member[atomic_load (&d->shown_member)],
+      (long long)atomic_load (&d->shown_term),
+      (long long)atomic_load (&d->shown_commit),
+      (long long)atomic_load (&d->shown_version));
   return leader;
 }
--- a/cmd/pimentopostd/decide.h
+++ b/cmd/pimentopostd/decide.h
@@ -42,6 +42,7 @@
   atomic_bool stopping;
   /* For health, which another thread asks for.  */
   atomic_int_fast64_t shown_role;
+  atomic_int_fast64_t shown_member; /* 2 voter, 1 learner, 0 none */
   atomic_int_fast64_t shown_term;
   atomic_int_fast64_t shown_commit;
   atomic_int_fast64_t shown_version;
