--- a/include/raft.h
+++ b/include/raft.h
@@ -85,9 +85,9 @@
 {
   str_t name;            /* of this instance, for membership */
   int64_t compact_after; /* applied entries behind the snapshot that start a
-                            new one; 0: 1024 */
+                            new one; 0: 256 */
   int64_t trail;         /* entries kept in front of a snapshot for slow
-                            followers; 0: 256 */
+                            followers; 0: 128 */
   size_t batch;          /* bytes of entries in one message, of which at least
                             one entry is sent; 0: RAFT_MAX_BATCH */
 } raft_conf_t;
--- a/lib/raft/local.h
+++ b/lib/raft/local.h
@@ -10,8 +10,8 @@
   PEERS_MAX = 16,
   WINDOW = 512,      /* entries sent ahead of the last answer */
   CHUNK_RETRY = 200, /* ms until a snapshot chunk is sent again */
-  DEFAULT_COMPACT = 1024,
-  DEFAULT_TRAIL = 256
+  DEFAULT_COMPACT = 256,
+  DEFAULT_TRAIL = 128
 };
 
 /* A snapshot that a transfer under way keeps alive after a newer one.  */
--- a/lib/raft/vote.c
+++ b/lib/raft/vote.c
@@ -53,6 +53,7 @@
   r->term++;
   r->vote = r->id;
   r->leader = 0;
+  reset_timeout (r);
   if (!r->ops->save_vote (r->arg, r->term, r->vote, &r->err))
     return failed (r);
   ask_votes (r);
@@ -64,7 +65,10 @@
 {
   r->role = RAFT_CANDIDATE;
   r->pre = true;
-  reset_timeout (r);
+  /* A pre-vote raises no term, so it can be asked again soon: instances that
+     restart together refuse it for as long as a leader may have been heard. */
+  r->deadline = r->now + RAFT_HEARTBEAT
+                + (msec_t)rng_below (r->rng, 2 * RAFT_HEARTBEAT);
   ask_votes (r);
   return granted (r) < quorum (r) || start_election (r);
 }
