Send brief renewals and grants between full ones

Change: four of five renewals carry only the probes of primaries and failing databases; the grant then leaves out databases, budgets and histories unless a digest of them changed. The first renewal over a connection is full.

--- a/include/rpc.h
+++ b/include/rpc.h
@@ -237,6 +237,8 @@
   list_t uses;       /* use_t */
   str_t address;     /* caller address of this instance */
   int64_t raft_term; /* highest in a grant received, 0 for none */
+  bool brief; /* probes only of primaries and of databases that fail, no uses;
+                 the grant may be brief too */
 } renew_t;
 
 typedef enum
@@ -301,6 +303,7 @@
   list_t leases;      /* lease_t */
   list_t dbs;         /* db_info_t */
   list_t budgets;     /* budget_t */
+  bool brief; /* no dbs, budgets and histories: nothing in them changed */
 } grant_t;
 
 /* ---- operators ---- */
--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -226,6 +226,7 @@
   int64_t cfg_index; /* of the configuration that it has in force */
   msec_t added; /* when the configuration first named it; 0 unknown */
   msec_t proposed;
+  uint64_t digest; /* of the databases and terms in the last grant */
 } ent_t;
 
 typedef struct act_node act_node_t;
--- a/lib/control/entry.c
+++ b/lib/control/entry.c
@@ -26,7 +26,8 @@
 
   for (size_t i = 0; i < r->uses.n; i++)
     open += LIST_AT (r->uses, use_t, i)->open;
-  if (t->told_unknown && open == 0 && r->raft_term == c->raft_term)
+  if (t->told_unknown && open == 0 && !r->brief
+      && r->raft_term == c->raft_term)
     propose (c, t, 2, "removed from the configuration, holds nothing", now);
   t->told_unknown = true;
 }
--- a/lib/control/renew.c
+++ b/lib/control/renew.c
@@ -92,7 +92,53 @@
     detect_probe (c, r->name, false, LIST_AT (r->probes, probe_t, i), now);
   for (size_t i = 0; i < r->announces.n; i++)
     member_announce (c, LIST_AT (r->announces, announce_t, i), now);
-  budget_uses (c, slot, r, now);
+  if (!r->brief)
+    budget_uses (c, slot, r, now);
+}
+
+/* What an instance must learn at once when it changes.  Positions and ages are
+   estimates and can wait for the next full grant.  */
+static uint64_t
+digest (const grant_t *g)
+{
+  buf_t b;
+
+  buf_init (&b);
+  for (size_t i = 0; i < g->dbs.n; i++)
+    {
+      const db_info_t *d = LIST_AT (g->dbs, db_info_t, i);
+      buf_fmt (&b, STR_FMT "@" STR_FMT "=%d;", STR_ARG (d->name),
+               STR_ARG (d->address), (int)d->state);
+    }
+  for (size_t i = 0; i < g->leases.n; i++)
+    {
+      const lease_t *l = LIST_AT (g->leases, lease_t, i);
+      buf_fmt (&b, STR_FMT "@%lld=" STR_FMT ";", STR_ARG (l->group),
+               (long long)l->term, STR_ARG (l->history));
+    }
+  uint64_t hash = str_hash (buf_str (&b));
+  buf_free (&b);
+  return hash;
+}
+
+/* Leaves out what the instance has.  A grant is lost only together with its
+   connection, and the first renewal over a new one is not brief.  */
+static void
+shorten (ent_t *t, const renew_t *r, grant_t *g)
+{
+  uint64_t hash = digest (g);
+  bool same = hash == t->digest;
+
+  t->digest = hash;
+  if (!r->brief || !same)
+    return;
+  g->brief = true;
+  g->dbs = g->budgets = (list_t){ 0 };
+  for (size_t i = 0; i < g->leases.n; i++)
+    {
+      lease_t *l = LIST_AT (g->leases, lease_t, i);
+      l->history = l->address = (str_t){ 0 };
+    }
 }
 
 void
@@ -124,5 +170,7 @@
   if (!quorum)
     return;
   fill_leases (c, now, pool, out);
-  fill_budgets (c, r, slot, now, pool, out);
+  shorten (c->ent[slot], r, out);
+  if (!r->brief)
+    fill_budgets (c, r, slot, now, pool, out);
 }
--- a/lib/entry/link.c
+++ b/lib/entry/link.c
@@ -8,6 +8,8 @@
 enum
 {
   RENEW_EVERY = 100,    /* ms */
+  FULL_EVERY = 5,       /* renewals; the others leave out what seldom changes,
+                           so that control takes less than 10 KB/s */
   ANSWER_MAX = 250,     /* ms until another control instance is tried */
   POLL_MAX = 20,        /* ms, bounds the reaction to a stop */
   ANNOUNCES_MAX = 1024, /* kept between two renewals */
@@ -26,6 +28,8 @@
   buf_t rx;
   buf_t tx;
   int64_t seq;
+  int brief;    /* renewals over this connection since the last full one; -1:
+                   none yet */
   msec_t next;  /* time of the next renewal */
   msec_t asked; /* time of the oldest renewal without an answer; 0 */
   bool up;
@@ -155,6 +159,18 @@
     }
 }
 
+/* Keeps the probes that decide about failovers.  */
+static void
+keep_urgent (lists_t *t)
+{
+  int n = 0;
+
+  for (int i = 0; i < t->n; i++)
+    if (!t->probe[i].reachable || str_eq (t->probe[i].role, STR ("primary")))
+      t->probe[n++] = t->probe[i];
+  t->n = n;
+}
+
 static void
 renew (link_t *l, msec_t now)
 {
@@ -184,8 +200,12 @@
         }
     }
   fill_announces (l, t, now);
+  m.brief = l->brief >= 0 && l->brief < FULL_EVERY - 1;
+  l->brief = m.brief ? l->brief + 1 : 0;
+  if (m.brief)
+    keep_urgent (t);
   m.probes = (list_t){ t->probe, (size_t)t->n };
-  m.uses = (list_t){ t->use, (size_t)t->n };
+  m.uses = (list_t){ t->use, m.brief ? 0 : (size_t)t->n };
   m.announces = (list_t){ t->announce, (size_t)l->nannounce };
   /* The lease counts from here.  */
   m.sent = msec_now ();
@@ -264,6 +284,7 @@
   l->fd = -1;
   l->rx.n = l->rx.off = l->tx.n = l->tx.off = 0;
   l->asked = 0;
+  l->brief = -1;
   if (l->up)
     log_event (EV_LINK_DOWN, "control=" STR_FMT, STR_ARG (l->to));
   l->up = false;
@@ -279,6 +300,7 @@
     return true;
   l->rx.n = l->rx.off = l->tx.n = l->tx.off = 0;
   l->asked = 0;
+  l->brief = -1;
   if (l->to.n == 0 && set->npeers)
     l->to = set->peers[l->peer++ % set->npeers].address;
   l->fd = l->to.n ? rpc_connect (l->to, NULL) : -1;
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -188,7 +188,8 @@
   if (g->status != GRANT_OK)
     return true;
   v->contact = now;
-  expire_unlisted (v, g);
+  if (!g->brief)
+    expire_unlisted (v, g);
   for (size_t i = 0; i < g->leases.n; i++)
     take_lease (v, LIST_AT (g->leases, lease_t, i), g->sent);
   for (size_t i = 0; i < g->budgets.n; i++)
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -158,7 +158,7 @@
         INT (renew_t, cfg_index),      BOOL (renew_t, stopping),
         LIST (renew_t, probes, probe), LIST (renew_t, announces, announce),
         LIST (renew_t, uses, use),     TEXT (renew_t, address),
-        INT (renew_t, raft_term) };
+        INT (renew_t, raft_term),      BOOL (renew_t, brief) };
 TABLE (renew);
 
 static const field_t lease_fields[]
@@ -191,7 +191,8 @@
                                         TEXT (grant_t, cfg),
                                         LIST (grant_t, leases, lease),
                                         LIST (grant_t, dbs, db_info),
-                                        LIST (grant_t, budgets, budget) };
+                                        LIST (grant_t, budgets, budget),
+                                        BOOL (grant_t, brief) };
 TABLE (grant);
 
 static const field_t submit_fields[]
