Promote by the last record's term and fuzz control with route

The fuzzer with a plain record of acknowledgements found: a replica that takes over its primary's history before it has the records won the choice although its log was shorter, so the choice now goes by the term of the last record; a primary that lost its disk kept the role while entry instances still reached it.

--- a/lib/control/apply.c
+++ b/lib/control/apply.c
@@ -170,11 +170,15 @@
   if (g->new_term < r->term)
     g->new_term = r->term;
   name_set (g->primary, r->name);
+  g->adopted = adopted;
   g->intent = g->lease_open = g->lease_told = g->refused = false;
   g->repaired = promoted ? now : 0;
   g->promotions += promoted;
-  if (m)
-    detect_grace (m, now);
+  if (!m)
+    return;
+  detect_grace (m, now);
+  if (m->answered)
+    m->witness = r->term;
 }
 
 static void
@@ -196,6 +200,8 @@
   m->proposed = 0;
   if (r->term > m->follow_term)
     m->follow_term = r->term;
+  if (m->answered)
+    m->witness = r->term;
 }
 
 static void
--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -148,10 +148,11 @@
   msec_t announced;
   bool leaving; /* by its last announcement */
   bool answered;
-  msec_t at;        /* last answer to any control instance */
-  status_t st;      /* in that answer */
-  int64_t log_term; /* last term of the history */
-  bool own_ok;      /* answered this instance's last probe */
+  msec_t at;           /* last answer to any control instance */
+  status_t st;         /* in that answer */
+  int64_t log_term;    /* last term of the history */
+  int64_t record_term; /* term of the record at POSITION */
+  bool own_ok;         /* answered this instance's last probe */
   msec_t own_at;
   msec_t own_answer; /* last answer to this instance; 0: never */
   status_t own;      /* in that answer */
@@ -161,7 +162,8 @@
   int64_t past_term, past_pos;
   int64_t next_term, next_pos;
   msec_t rotated;
-  bool back; /* a probe or announcement was below PAST */
+  int64_t witness; /* term for which KNOWN has all that it ever had */
+  bool back;       /* a probe or announcement was below PAST */
 
   msec_t proposed;    /* a record about it is under way since; 0: none */
   msec_t stale_since; /* for the proof of having caught up */
@@ -173,7 +175,7 @@
   msec_t fence_sent;
   bool fence_refused;
   int64_t fence_known_term, fence_known_pos; /* known at the first fence */
-  int64_t f_log_term, f_pos;
+  int64_t f_log_term, f_record_term, f_pos;
   msec_t follow_sent;
 
   obs_t obs[MAX_OBSERVERS];
@@ -192,6 +194,7 @@
   name_t owner;
   int64_t intent_raft; /* raft term of the intent record */
   bool lease_open;     /* a lease for TERM is on record */
+  bool adopted;        /* TERM was running when the group was first seen */
 
   /* Of this process.  */
   msec_t proposed;   /* an intent or result is under way since; 0: none */
@@ -200,7 +203,7 @@
   msec_t repaired;   /* when the present primary was recorded; 0 unknown */
   msec_t intent_at;
   msec_t ready_since; /* adoption: majority announced since; 0: no */
-  msec_t wrong_since; /* suspect for the leaving switch */
+  msec_t wrong_since; /* the primary denies its role since; 0: no */
   name_t candidate;
   msec_t promote_first;
   msec_t promote_sent;
@@ -392,7 +395,9 @@
 
 /* ---- failover.c ---- */
 void failover_tick (control_t *c, msec_t now);
-/* failover_further: A has a longer log than B, by term, then position.  */
+/* failover_further: A has a longer log than B, by the term of its last record,
+   then position.  The last term of the history would not do: a replica takes
+   over its primary's history before it has the records.  */
 bool failover_further (const mem_t *a, const mem_t *b);
 void failover_result (control_t *c, const db_event_t *ev, msec_t now);
 /* failover_begin: an intent of this instance was applied.  */
--- a/lib/control/detect.c
+++ b/lib/control/detect.c
@@ -4,21 +4,32 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* The last term of "1:0,2:553"; the group term when there is no history.  */
+/* The last term of "1:0,2:553", whose last start is below POS; 0 when there is
+   none.  */
 static int64_t
-last_term (str_t history, int64_t term)
+last_term (str_t history, int64_t pos)
 {
-  size_t at = history.n;
-  size_t colon = history.n;
-  int64_t v;
-
-  while (at && history.p[at - 1] != ',')
-    if (history.p[--at] == ':')
-      colon = at;
-  if (colon > at && colon < history.n
-      && str_int ((str_t){ history.p + at, colon - at }, &v))
-    return v;
-  return term;
+  int64_t last = 0;
+  int64_t term, start;
+
+  for (size_t at = 0; at < history.n;)
+    {
+      size_t colon = at;
+      while (colon < history.n && history.p[colon] != ':')
+        colon++;
+      size_t end = colon;
+      while (end < history.n && history.p[end] != ',')
+        end++;
+      if (end == colon
+          || !str_int ((str_t){ history.p + at, colon - at }, &term)
+          || !str_int ((str_t){ history.p + colon + 1, end - colon - 1 },
+                       &start))
+        return last;
+      if (start < pos)
+        last = term;
+      at = end + 1;
+    }
+  return last;
 }
 
 static obs_t *
@@ -82,7 +93,8 @@
   m->answered = true;
   m->at = at;
   read_status (&m->st, p);
-  m->log_term = last_term (p->history, p->term);
+  m->log_term = last_term (p->history, INT64_MAX);
+  m->record_term = last_term (p->history, p->position);
   m->back = m->back || member_past (m, m->log_term, m->st.position);
   known (m, now);
 }
--- a/lib/control/failover.c
+++ b/lib/control/failover.c
@@ -103,8 +103,8 @@
 bool
 failover_further (const mem_t *a, const mem_t *b)
 {
-  return a->f_log_term > b->f_log_term
-         || (a->f_log_term == b->f_log_term && a->f_pos > b->f_pos);
+  return a->f_record_term > b->f_record_term
+         || (a->f_record_term == b->f_record_term && a->f_pos > b->f_pos);
 }
 
 /* The most advanced of the fenced databases.  One that is leaving is passed
@@ -218,9 +218,21 @@
     pick (c, g, now);
 }
 
+/* The primary itself says that it is not the primary of this term, as after
+   the loss of its disk.  Entry instances only see that it answers.  */
+static bool
+denies (const mem_t *p, grp_t *g, msec_t now)
+{
+  if (!mem_fresh (p, now) || (p->st.primary && p->st.term == g->term))
+    g->wrong_since = 0;
+  else if (!g->wrong_since)
+    g->wrong_since = now;
+  return g->wrong_since && now - g->wrong_since >= CTL_LOST;
+}
+
 /* The primary has to be replaced although it answers.  */
 static const char *
-unfit (const control_t *c, const grp_t *g, msec_t now)
+unfit (const control_t *c, grp_t *g, msec_t now)
 {
   const mem_t *p = mem_find (c, str_of (g->primary));
   int staying = 0;
@@ -229,6 +241,8 @@
     return NULL;
   if (!mem_whole (p))
     return "the primary came back from the past";
+  if (denies (p, g, now))
+    return "the primary does not answer as primary of its term";
   if (mem_state (p) == DB_ACTIVE)
     return NULL;
   for (int i = 0;;)
@@ -330,20 +344,35 @@
   act_append (c, &r);
 }
 
+/* The fenced database has less data than it once had.  This instance may not
+   have seen it with more, so the records count too: an empty one that was told
+   to follow in the present term may have confirmed writes of it before its
+   disk was lost, unless it was watched all along.  */
+static bool
+lost_data (const grp_t *g, const mem_t *m)
+{
+  bool told = g->adopted || m->follow_term >= g->term
+              || strcmp (m->name, g->primary) == 0;
+
+  if (told && m->f_log_term == 0 && g->term > 0 && m->witness < g->term)
+    return true;
+  return m->f_log_term < m->fence_known_term
+         || (m->f_log_term == m->fence_known_term
+             && m->f_pos < m->fence_known_pos);
+}
+
 static void
-fenced (control_t *c, mem_t *m, msec_t now)
+fenced (control_t *c, const grp_t *g, mem_t *m, msec_t now)
 {
   m->fenced = true;
   m->f_log_term = m->log_term;
+  m->f_record_term = m->record_term;
   m->f_pos = m->st.position;
-  if (m->f_log_term < m->fence_known_term
-      || (m->f_log_term == m->fence_known_term
-          && m->f_pos < m->fence_known_pos))
-    {
-      m->back = true; /* not counted, whether or not the record is committed */
-      member_propose (c, m, m->bits | M_STALE,
-                      "fenced with less data than it was known to have", now);
-    }
+  if (!lost_data (g, m))
+    return;
+  m->back = true; /* not counted, whether or not the record is committed */
+  member_propose (c, m, m->bits | M_STALE,
+                  "fenced with less data than it had before", now);
 }
 
 void
@@ -360,7 +389,7 @@
   if (ok)
     detect_probe (c, str_of (c->name), true, &ev->probe, now);
   if (ev->cmd.op == DB_FENCE && ok && !m->fenced)
-    fenced (c, m, now);
+    fenced (c, g, m, now);
   else if (ev->cmd.op == DB_FENCE && ev->err.code == ERR_DB)
     m->fence_refused = true;
   else if (ev->cmd.op == DB_PROMOTE && ok
--- a/lib/control/snap.c
+++ b/lib/control/snap.c
@@ -57,7 +57,8 @@
                   .position = g->new_term,
                   .base = g->intent_raft,
                   .who = str_of (g->owner),
-                  .state = (g->intent ? 1 : 0) | (g->lease_open ? 2 : 0) };
+                  .state = (g->intent ? 1 : 0) | (g->lease_open ? 2 : 0)
+                           | (g->adopted ? 4 : 0) };
       rec_pack (out, &r);
     }
 }
@@ -164,6 +165,7 @@
   name_set (g->owner, r->who);
   g->intent = r->state & 1;
   g->lease_open = r->state & 2;
+  g->adopted = r->state & 4;
 }
 
 static void
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -134,6 +134,13 @@
 void
 outcome_add (control_t *c, const outcome_t *o)
 {
+  outcome_t *old = outcome_find (c, str_of (o->id));
+
+  if (old)
+    {
+      *old = *o;
+      return;
+    }
   c->outcomes[c->outcome_at] = *o;
   c->outcome_at = (c->outcome_at + 1) % CTL_OUTCOMES;
   if (c->noutcomes < CTL_OUTCOMES)
--- /dev/null
+++ b/test/oracle.c
@@ -0,0 +1,593 @@
+#include "oracle.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- deliberate faults ---- */
+
+static bool
+always_over (const control_t *c, const grp_t *g, msec_t now)
+{
+  (void)c;
+  (void)g;
+  (void)now;
+  return true;
+}
+
+static int
+need_one (const control_t *c, const grp_t *g)
+{
+  (void)c;
+  (void)g;
+  return 1;
+}
+
+static bool
+less_far (const mem_t *a, const mem_t *b)
+{
+  return failover_further (b, a);
+}
+
+static int64_t
+no_others (const control_t *c, const mem_t *m, int slot, msec_t now)
+{
+  (void)c;
+  (void)m;
+  (void)slot;
+  (void)now;
+  return 0;
+}
+
+static bool
+any_base (const control_t *c, const rec_t *r)
+{
+  (void)c;
+  (void)r;
+  return true;
+}
+
+static outcome_t *
+no_outcome (const control_t *c, str_t id)
+{
+  (void)c;
+  (void)id;
+  return NULL;
+}
+
+static int64_t
+all_active (const mem_t *m)
+{
+  (void)m;
+  return DB_ACTIVE;
+}
+
+static void
+apply_fault (world_t *w, fault_t f)
+{
+  w->rules = w->ctl[0].c->rules;
+  w->ruled = true;
+  if (f == FAULT_NEED)
+    w->rules.need = need_one;
+  else if (f == FAULT_FURTHER)
+    w->rules.further = less_far;
+  else if (f == FAULT_LEASE_OVER)
+    w->rules.lease_over = always_over;
+  else if (f == FAULT_OTHERS)
+    w->rules.others = no_others;
+  else if (f == FAULT_BASE)
+    w->rules.base_holds = any_base;
+  else if (f == FAULT_OUTCOME)
+    w->rules.outcome = no_outcome;
+  else if (f == FAULT_STATE)
+    w->rules.state = all_active;
+  for (int i = 0; i < W_CTL; i++)
+    w->ctl[i].c->rules = w->rules;
+}
+
+/* ---- start and end ---- */
+
+oracle_t *
+oracle_new (uint64_t seed, fault_t fault)
+{
+  oracle_t *o = calloc (1, sizeof *o);
+
+  o->w = world_new (seed, true);
+  o->w->delay = 40;
+  o->fault = fault;
+  apply_fault (o->w, fault);
+  if (!world_start (o->w))
+    oracle_fail (o, "the world did not start");
+  o->version = 1;
+  o->ticket = 1;
+  o->quiet_since = o->w->now;
+  for (int i = 0; i < O_SESSIONS; i++)
+    o->s[i] = (session_t){ .entry = i % W_ENT,
+                           .group = i % W_GRP,
+                           .began = world_ent_now (o->w, i % W_ENT),
+                           .pending = -1 };
+  return o;
+}
+
+void
+oracle_free (oracle_t *o)
+{
+  for (int g = 0; g < W_GRP; g++)
+    free (o->acks[g]);
+  world_free (o->w);
+  free (o);
+}
+
+/* ---- requests ---- */
+
+static str_t
+group_name (int g)
+{
+  return g ? STR ("g1") : STR ("g0");
+}
+
+static int
+db_index (const world_t *w, const db_t *d)
+{
+  for (int i = 0; d && i < W_DB; i++)
+    if (str_eq (d->name, str_of (w->db[i].name)))
+      return i;
+  return -1;
+}
+
+static bool
+reaches (const world_t *w, int e, int d)
+{
+  return d >= 0 && w->db[d].alive && !w->db[d].frozen
+         && world_reach (w, w->ent[e].zone, w->db[d].zone);
+}
+
+static bool
+entry_works (const world_t *w, int e)
+{
+  return w->ent[e].alive && !w->ent[e].frozen;
+}
+
+/* R7: a database that has been leaving for 3 s gets no new work.  */
+static void
+check_leaving (oracle_t *o, int d)
+{
+  if (o->left[d] && o->w->now - o->left[d] > 3000)
+    oracle_fail (o, "R7: db%d got work %lld ms after it announced leaving", d,
+                 (long long)(o->w->now - o->left[d]));
+}
+
+static void
+op_write (oracle_t *o, session_t *s)
+{
+  world_t *w = o->w;
+  int64_t term;
+  int e = s->entry;
+  int slot = -1;
+
+  for (int i = 0; i < O_PENDING && slot < 0; i++)
+    if (!o->p[i].used)
+      slot = i;
+  if (s->pending >= 0 || slot < 0 || !entry_works (w, e))
+    return;
+  const db_t *p = view_primary (w->ent[e].view, group_name (s->group),
+                                world_ent_now (w, e), &term);
+  int d = db_index (w, p);
+  if (!reaches (w, e, d) || wdb_readonly (&w->db[d]))
+    {
+      o->refused++;
+      return;
+    }
+  check_leaving (o, d);
+  wdb_write (&w->db[d], ++o->next_id);
+  o->p[slot] = (pending_write_t){ .used = true,
+                                  .session = (int)(s - o->s),
+                                  .entry = e,
+                                  .boot = w->ent[e].boot,
+                                  .db = d,
+                                  .group = s->group,
+                                  .id = o->next_id,
+                                  .term = term,
+                                  .pos = w->db[d].pos,
+                                  .sent = w->now };
+  s->pending = slot;
+}
+
+static bool
+covers (const oracle_t *o, const wdb_t *d, token_t need)
+{
+  return o->fault == FAULT_COVER || need.term == 0
+         || history_covers (&d->hist, d->pos, need);
+}
+
+/* What the answer must contain: the session's own writes; in a session without
+   a token all that was acknowledged before it began; for a read of a stated
+   age all that was acknowledged longer ago than that.  */
+static void
+check_read (oracle_t *o, const session_t *s, const wdb_t *d, msec_t max_age)
+{
+  const ack_t *a = o->acks[s->group];
+  int n = o->nacks[s->group];
+  msec_t before = max_age >= 0 ? o->w->now - max_age
+                               : s->began - o->w->ent[s->entry].skew;
+
+  o->reads++;
+  if (s->token.term && !history_covers (&d->hist, d->pos, s->token))
+    oracle_fail (o, "R1: a session's own write is not in the database read");
+  if (max_age < 0 && s->token.term)
+    return;
+  while (n > 0 && a[n - 1].at > before)
+    n--;
+  if (!oracle_has (o, d, s->group, n < 32 ? n : 32)
+      || (n
+          && (a[n - 1].pos > d->pos
+              || d->log[a[n - 1].pos - 1] != a[n - 1].id)))
+    oracle_fail (o,
+                 "%s: %s (%s in term %lld at %lld) lacks write %lld of %lld "
+                 "that was acknowledged %lld ms ago, max_age %lld",
+                 max_age >= 0 ? "stale" : "R1", d->name,
+                 d->primary ? "primary" : "replica", (long long)wdb_term (d),
+                 (long long)d->pos, (long long)a[n - 1].pos, (long long)n,
+                 (long long)(o->w->now - a[n - 1].at), (long long)max_age);
+}
+
+static void
+op_read (oracle_t *o, session_t *s, msec_t max_age)
+{
+  world_t *w = o->w;
+  int e = s->entry;
+  view_t *v = w->ent[e].view;
+  msec_t now = world_ent_now (w, e);
+  ask_t ask
+      = { .group = group_name (s->group),
+          .token = s->token,
+          .began = s->began,
+          .max_age = o->fault == FAULT_AGE && max_age >= 0 ? 1 << 30 : max_age,
+          .deadline = now + 500 };
+
+  if (!entry_works (w, e) || s->pending >= 0)
+    return;
+  for (int tries = 0; tries < 3; tries++)
+    {
+      route_t r = route_pick (v, &ask, now);
+      int d = db_index (w, r.db);
+      if (r.kind == ROUTE_NONE || r.kind == ROUTE_LATER)
+        return;
+      if (!reaches (w, e, d))
+        {
+          view_failed (v, r.db->name, now);
+          continue;
+        }
+      wdb_t *b = &w->db[d];
+      if (r.kind == ROUTE_REPLICA)
+        {
+          if (!covers (o, b, r.need))
+            {
+              o->stale_refused++;
+              view_failed (v, r.db->name, now);
+              continue;
+            }
+          check_leaving (o, d);
+          check_read (o, s, b, max_age);
+          return;
+        }
+      /* A primary is sampled only under a lease that still holds, by an answer
+         that shows it in the lease's term.  */
+      if (wdb_readonly (b) || wdb_term (b) != r.term)
+        return;
+      view_sample (v, ask.group, r.term, b->pos, now);
+      if (r.kind == ROUTE_PRIMARY)
+        {
+          check_read (o, s, b, max_age);
+          return;
+        }
+    }
+}
+
+static void
+op_roam (oracle_t *o, session_t *s, uint64_t x)
+{
+  token_t t = s->token;
+
+  if (s->pending >= 0)
+    return;
+  s->entry = (int)(x % W_ENT);
+  s->began = world_ent_now (o->w, s->entry);
+  s->token = x & 64 ? t : (token_t){ 0, 0 };
+  if (x & 128)
+    {
+      s->group = (int)(x / 256 % W_GRP);
+      s->token = (token_t){ 0, 0 };
+    }
+}
+
+static void
+finish (oracle_t *o, pending_write_t *p, bool ack)
+{
+  session_t *s = &o->s[p->session];
+
+  p->used = false;
+  s->pending = -1;
+  if (!ack)
+    return;
+  s->token = (token_t){ p->term, p->pos };
+  oracle_ack (o, p);
+}
+
+/* The confirm query's answer travels back to the entry instance, which checks
+   its lease when it reads it.  */
+static void
+pending_step (oracle_t *o, pending_write_t *p)
+{
+  world_t *w = o->w;
+  const wdb_t *d = &w->db[p->db];
+  went_t *x = &w->ent[p->entry];
+
+  if (!x->alive || x->boot != p->boot
+      || (!p->answered && w->now - p->sent > 2000))
+    {
+      finish (o, p, false);
+      return;
+    }
+  if (!p->answered && reaches (w, p->entry, p->db) && d->primary
+      && wdb_term (d) == p->term && d->confirmed >= p->pos)
+    {
+      p->answered = true;
+      p->due
+          = w->now
+            + (msec_t)rng_below (&w->rng, 350) * (rng_below (&w->rng, 3) == 0);
+    }
+  if (!p->answered || w->now < p->due || x->frozen)
+    return;
+  finish (o, p,
+          o->fault == FAULT_LEASE_CHECK
+              || view_lease (x->view, group_name (p->group), p->term,
+                             world_ent_now (w, p->entry)));
+}
+
+/* ---- operators ---- */
+
+static void
+send_submit (oracle_t *o, int i)
+{
+  world_submit (o->w, o->submit[i].ticket, o->submit[i].id, "op",
+                o->submit[i].base, "entries 4");
+}
+
+static void
+op_submit (oracle_t *o, uint64_t x)
+{
+  int n = x % 3 == 0 ? 2 : 1; /* two operators race */
+
+  if (o->nsubmits + n > 64)
+    {
+      memmove (&o->submit[0], &o->submit[n],
+               (size_t)(o->nsubmits - n) * sizeof o->submit[0]);
+      o->nsubmits -= n;
+    }
+  while (n--)
+    {
+      int i = o->nsubmits++;
+      memset (&o->submit[i], 0, sizeof o->submit[i]);
+      o->submit[i].ticket = 1 + o->ticket % 4000;
+      o->submit[i].base = o->version - (x % 7 == 0);
+      snprintf (o->submit[i].id, sizeof o->submit[i].id, "c%d", o->ticket++);
+      send_submit (o, i);
+    }
+}
+
+/* ---- faults of the platform ---- */
+
+static bool
+spare (const oracle_t *o, int d)
+{
+  const wdb_t *b = &o->w->db[d];
+  const mem_t *m = world_mem (o->w, d);
+  bool held = true;
+
+  /* Without another copy the data would be gone whatever the system does, and
+     with one copy of three left no majority can prove that it is complete.  A
+     second disk is lost only after the first one's database has caught up.  */
+  for (int k = 0; k < W_PER; k++)
+    {
+      int i = b->group * W_PER + k;
+      const wdb_t *x = &o->w->db[i];
+      const mem_t *y = world_mem (o->w, i);
+      if (i == d)
+        continue;
+      if (!y || !mem_whole (y))
+        return false;
+      held = held
+             && (oracle_has (o, x, b->group, o->nacks[b->group])
+                 && x->pos >= b->confirmed && x->pos >= b->pos
+                 && wdb_term (x) == wdb_term (b));
+    }
+  for (int i = 0; i < O_PENDING; i++)
+    if (o->p[i].used && o->p[i].group == b->group)
+      return false;
+  return held && m && mem_whole (m);
+}
+
+static void
+op_cut (world_t *w, uint64_t x)
+{
+  int z = (int)(x % W_ZONES);
+
+  for (int k = 0; k < W_ZONES; k++)
+    if (k != z)
+      w->cut[z][k] = w->cut[k][z] = true;
+}
+
+static void
+op_heal (world_t *w)
+{
+  memset (w->cut, 0, sizeof w->cut);
+  for (int i = 0; i < W_DB; i++)
+    w->db[i].frozen = false;
+  for (int i = 0; i < W_CTL; i++)
+    {
+      w->ctl[i].frozen = false;
+      w->ctl[i].alive = true;
+    }
+  for (int i = 0; i < W_ENT; i++)
+    w->ent[i].frozen = false;
+}
+
+static void
+op_kill_db (oracle_t *o, uint64_t x)
+{
+  int d = (int)(x % W_DB);
+  wdb_t *b = &o->w->db[d];
+
+  if (x & 0x100)
+    b = world_primary (o->w, d / W_PER);
+  if (!b)
+    return;
+  b->alive = !b->alive;
+  if (b->alive && (x & 0x600) == 0 && spare (o, (int)(b - o->w->db)))
+    world_lose_disk (b);
+}
+
+static void
+restart_entry (oracle_t *o, int e)
+{
+  world_restart_ent (o->w, e);
+  o->entry_cfg[e] = 0;
+  for (int i = 0; i < O_SESSIONS; i++)
+    if (o->s[i].entry == e && o->s[i].pending < 0)
+      o->s[i].began = world_ent_now (o->w, e);
+}
+
+static void
+disturb (oracle_t *o, int kind, uint64_t x)
+{
+  world_t *w = o->w;
+
+  o->quiet_since = w->now;
+  memset (o->left, 0, sizeof o->left);
+  if (kind == 0)
+    op_cut (w, x);
+  else if (kind == 1)
+    w->db[x % W_DB].frozen = true;
+  else if (kind == 2)
+    w->ent[x % W_ENT].frozen = true;
+  else if (kind == 3)
+    w->ctl[x % W_CTL].frozen = true;
+  else if (kind == 4 || kind == 5)
+    op_kill_db (o, x);
+  else if (kind == 6)
+    world_restart_ctl (w, (int)(x % W_CTL), x & 8);
+  else if (kind == 7)
+    restart_entry (o, (int)(x % W_ENT));
+  else
+    w->db[x % W_DB].lag_until = w->now + (msec_t)(x / 64 % 1500);
+}
+
+/* No fault is at work that could keep an announcement from the leader or the
+   leader's word from the entry instances.  */
+static bool
+healthy (world_t *w)
+{
+  bool ok = world_settled (w);
+
+  for (int i = 0; i < W_ZONES * W_ZONES; i++)
+    ok = ok && !w->cut[i / W_ZONES][i % W_ZONES];
+  for (int i = 0; i < W_DB; i++)
+    ok = ok && w->db[i].alive && !w->db[i].frozen && world_mem (w, i)
+         && mem_state (world_mem (w, i)) == DB_ACTIVE;
+  for (int i = 0; i < W_ENT; i++)
+    ok = ok && entry_works (w, i);
+  for (int i = 0; i < W_CTL; i++)
+    ok = ok && world_works (w, i);
+  return ok;
+}
+
+static void
+op_leave (oracle_t *o, uint64_t x)
+{
+  int d = (int)(x % W_DB);
+  wdb_t *b = &o->w->db[d];
+  int leaving = 0;
+
+  for (int i = 0; i < W_PER; i++)
+    leaving += o->w->db[b->group * W_PER + i].leaving;
+  if (!b->leaving && leaving)
+    return;
+  b->leaving = !b->leaving;
+  o->left[d] = b->leaving && healthy (o->w) ? o->w->now : 0;
+}
+
+bool
+oracle_op (oracle_t *o, uint64_t choice)
+{
+  enum
+  {
+    WEIGHTS = 256
+  };
+  world_t *w = o->w;
+  unsigned k = choice % WEIGHTS;
+  uint64_t x = choice / WEIGHTS;
+  session_t *s = &o->s[x % O_SESSIONS];
+  msec_t quiet = 0;
+
+  if (k < 90)
+    op_write (o, s);
+  else if (k < 140)
+    op_read (o, s, -1);
+  else if (k < 170)
+    op_read (o, s, 100 + (msec_t)(x / 8 % 2000));
+  else if (k < 190)
+    op_roam (o, s, x / 8);
+  else if (k < 205)
+    op_submit (o, x);
+  else if (k < 213 && o->nsubmits)
+    send_submit (o, (int)(x % (uint64_t)o->nsubmits));
+  else if (k < 220)
+    for (int d = 0; d < W_DB; d++)
+      w->ent[x % W_ENT].want[d] = (int)(x / 8 % 20);
+  else if (k < 226)
+    op_leave (o, x);
+  else if (k < 234)
+    disturb (o, (int)(x / 4096 % 10), x);
+  else if (k < 242)
+    op_heal (w);
+  else if (k < 245)
+    quiet = 1500;
+  world_run (w, quiet ? quiet : W_STEP * (msec_t)(1 + x % 3));
+  for (int i = 0; i < O_PENDING; i++)
+    if (o->p[i].used)
+      pending_step (o, &o->p[i]);
+  oracle_checks (o);
+  return !o->failure[0];
+}
+
+bool
+oracle_settle (oracle_t *o)
+{
+  world_t *w = o->w;
+
+  op_heal (w);
+  for (int i = 0; i < W_DB; i++)
+    {
+      w->db[i].alive = true;
+      w->db[i].leaving = false;
+      w->db[i].lag_until = 0;
+    }
+  world_run (w, 3000);
+  if (!world_until (w, world_settled, 15000))
+    return oracle_fail (o, "no leases 18 s after everything was healed");
+  world_run (w, 1000);
+  for (int i = 0; i < O_PENDING; i++)
+    if (o->p[i].used)
+      finish (o, &o->p[i], false);
+  for (int g = 0; g < W_GRP; g++)
+    if (!oracle_has (o, world_primary (w, g), g, o->nacks[g]))
+      return oracle_fail (o, "lost: the primary of g%d lacks a write", g);
+  for (int e = 0; e < W_ENT; e++)
+    if (w->ent[e].cfg_version < o->version)
+      return oracle_fail (o, "R9: ent%d has version %lld of %lld", e,
+                          (long long)w->ent[e].cfg_version,
+                          (long long)o->version);
+  o->promoted += world_group (w, 0)->term + world_group (w, 1)->term - 2;
+  return !o->failure[0];
+}
--- a/test/world.c
+++ b/test/world.c
@@ -5,13 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  MSG_RENEWAL,
-  MSG_GRANTED,
-  MSG_COMMAND
-};
-
 /* ---- configuration ---- */
 
 static bool
@@ -70,8 +63,8 @@
   return w->now + w->ent[i].skew;
 }
 
-static void
-start_ctl (world_t *w, int i)
+void
+world_start_ctl (world_t *w, int i)
 {
   wctl_t *x = &w->ctl[i];
   char name[16];
@@ -122,14 +115,14 @@
   for (int i = 0; i < W_DB; i++)
     wdb_init (&w->db[i], i, primaries);
   for (int i = 0; i < W_CTL; i++)
-    start_ctl (w, i);
+    world_start_ctl (w, i);
   for (int i = 0; i < W_ENT; i++)
     world_restart_ent (w, i);
   return w;
 }
 
-static void
-free_msg (wmsg_t *m)
+void
+world_free_msg (wmsg_t *m)
 {
   buf_free (&m->b);
   free (m);
@@ -142,7 +135,7 @@
     {
       wmsg_t *m = w->msgs;
       w->msgs = m->next;
-      free_msg (m);
+      world_free_msg (m);
     }
   for (int64_t i = 0; i < w->nlog; i++)
     free (w->log[i].p);
@@ -155,8 +148,8 @@
 
 /* ---- messages ---- */
 
-static wmsg_t *
-post (world_t *w, int kind, int from, int to)
+wmsg_t *
+world_post (world_t *w, int kind, int from, int to)
 {
   wmsg_t *m = calloc (1, sizeof *m);
 
@@ -170,442 +163,32 @@
   return m;
 }
 
-static bool
-ctl_works (const world_t *w, int i)
+bool
+world_works (const world_t *w, int i)
 {
   return w->ctl[i].alive && !w->ctl[i].frozen;
 }
 
-static bool
-ctl_db (const world_t *w, int i, int db)
+bool
+world_ctl_db (const world_t *w, int i, int db)
 {
   return w->db[db].alive && !w->db[db].frozen
          && world_reach (w, i % W_ZONES, w->db[db].zone);
 }
 
-/* ---- the log ---- */
-
-static void
-append (world_t *w, str_t data)
-{
-  if (w->nlog == w->caplog)
-    {
-      w->caplog = w->caplog ? 2 * w->caplog : 256;
-      w->log = realloc (w->log, (size_t)w->caplog * sizeof *w->log);
-    }
-  wentry_t *e = &w->log[w->nlog++];
-  e->term = w->term;
-  e->n = data.n;
-  e->p = malloc (data.n);
-  memcpy (e->p, data.p, data.n);
-}
-
-static void
-pump (world_t *w, int i)
-{
-  ctl_act_t a;
-
-  while (control_next (w->ctl[i].c, &a))
-    if (a.kind == CTL_APPEND && w->leader == i)
-      append (w, a.data);
-    else if (a.kind == CTL_DB)
-      for (int d = 0; d < W_DB; d++)
-        {
-          if (strcmp (w->db[d].name, a.db.name) == 0)
-            post (w, MSG_COMMAND, i, d)->cmd = a.db;
-        }
-    else if (a.kind == CTL_ANSWER && a.ticket >= 0 && a.ticket < 4096)
-      w->answers[a.ticket] = (wanswer_t){ .status = a.resp.status,
-                                          .version = a.resp.version,
-                                          .repeated = a.resp.repeated,
-                                          .answered = true };
-}
-
-static void
-apply (world_t *w, int i)
-{
-  wctl_t *x = &w->ctl[i];
-  err_t e = { 0 };
-
-  if (!ctl_works (w, i) || w->leader < 0
-      || (i != w->leader
-          && !world_reach (w, i % W_ZONES, w->leader % W_ZONES)))
-    return;
-  while (x->applied < w->commit)
-    {
-      const wentry_t *l = &w->log[x->applied++];
-      if (!control_apply (x->c, l->term, x->applied, (str_t){ l->p, l->n },
-                          w->now, &e))
-        abort ();
-      pump (w, i);
-    }
-}
-
-void
-world_restart_ctl (world_t *w, int i, bool from_snapshot)
-{
-  wctl_t *x = &w->ctl[i];
-  int64_t at = x->applied;
-  buf_t b;
-  err_t e = { 0 };
-
-  buf_init (&b);
-  control_snapshot (x->c, &b);
-  if (w->leader == i)
-    w->leader = -1;
-  start_ctl (w, i);
-  w->restarts++;
-  if (from_snapshot)
-    {
-      if (!control_restore (x->c, buf_str (&b), w->now, &e))
-        abort ();
-      x->applied = at;
-    }
-  buf_free (&b);
-}
-
-/* ---- election ---- */
-
-static int
-followers (const world_t *w, int i)
-{
-  int n = 0;
-
-  for (int j = 0; j < W_CTL; j++)
-    n += ctl_works (w, j) && world_reach (w, i % W_ZONES, j % W_ZONES);
-  return n;
-}
-
-static void
-elect (world_t *w, int i)
-{
-  int votes = 0;
-
-  for (int j = 0; j < W_CTL; j++)
-    votes += ctl_works (w, j) && world_reach (w, i % W_ZONES, j % W_ZONES)
-             && w->now - w->heard[j] >= 250;
-  if (votes <= W_CTL / 2)
-    return;
-  /* Of the former leader's unacknowledged tail either everything or nothing
-     was on the winner.  */
-  if (rng_below (&w->rng, 2))
-    while (w->nlog > w->commit)
-      free (w->log[--w->nlog].p);
-  w->leader = i;
-  w->term++;
-  w->commit = w->nlog;
-  apply (w, i);
-  control_role (w->ctl[i].c, true, w->term, STR (""), w->now);
-  pump (w, i);
-}
-
-static void
-raft_step (world_t *w)
-{
-  int l = w->leader;
-
-  if (l >= 0 && ctl_works (w, l) && followers (w, l) > W_CTL / 2)
-    {
-      w->commit = w->nlog;
-      for (int j = 0; j < W_CTL; j++)
-        if (ctl_works (w, j) && world_reach (w, l % W_ZONES, j % W_ZONES))
-          w->heard[j] = w->now;
-      control_quorum (w->ctl[l].c, w->now);
-    }
-  for (int i = 0; i < W_CTL; i++)
-    {
-      bool late = w->now - w->heard[i] > 300 + 60 * i;
-      if (ctl_works (w, i) && late && i != w->leader)
-        elect (w, i);
-    }
-  for (int i = 0; i < W_CTL; i++)
-    if (ctl_works (w, i) && w->ctl[i].c->leads && i != w->leader
-        && (w->leader < 0 || w->now - w->heard[i] > 500
-            || world_reach (w, i % W_ZONES, w->leader % W_ZONES)))
-      control_role (w->ctl[i].c, false, w->term, STR (""), w->now);
-  for (int i = 0; i < W_CTL; i++)
-    apply (w, i);
-}
-
-/* ---- control instances ---- */
-
-static void
-probe_one (world_t *w, int i, int d)
-{
-  wctl_t *x = &w->ctl[i];
-  db_event_t ev = { .kind = DB_EV_PROBE };
-
-  apr_pool_create (&ev.pool, w->pool);
-  wdb_probe (w, d, &ev.probe, ev.pool);
-  ev.probe.reachable = ctl_db (w, i, d);
-  if (ev.probe.reachable)
-    x->answer[d] = w->now;
-  ev.probe.ok_age = x->answer[d] ? w->now - x->answer[d] : -1;
-  if (!ev.probe.reachable)
-    ev.probe.role = STR ("");
-  control_db (x->c, &ev, w->now);
-  apr_pool_destroy (ev.pool);
-}
-
-static void
-ctl_step (world_t *w, int i)
-{
-  wctl_t *x = &w->ctl[i];
-  db_target_t t[W_DB];
-  probe_report_t r;
-  apr_pool_t *p;
-
-  if (!ctl_works (w, i))
-    return;
-  if (w->now - x->probed >= 100)
-    {
-      x->probed = w->now;
-      size_t n = control_targets (x->c, t, W_DB, NULL);
-      for (size_t k = 0; k < n && k < W_DB; k++)
-        for (int d = 0; d < W_DB; d++)
-          if (strcmp (w->db[d].name, t[k].name) == 0)
-            probe_one (w, i, d);
-      int l = w->leader;
-      if (l >= 0 && l != i && ctl_works (w, l)
-          && world_reach (w, i % W_ZONES, l % W_ZONES))
-        {
-          apr_pool_create (&p, w->pool);
-          control_report (x->c, p, w->now, &r);
-          control_report_in (w->ctl[l].c, &r, w->now);
-          apr_pool_destroy (p);
-        }
-    }
-  control_tick (x->c, w->now);
-  pump (w, i);
-}
-
-/* ---- entry instances ---- */
-
-static size_t
-announces (world_t *w, int i, apr_pool_t *p, announce_t *v)
-{
-  size_t n = 0;
-
-  for (int d = 0; d < W_DB; d++)
-    {
-      const wdb_t *b = &w->db[d];
-      int via = -1;
-      for (int k = 0; k < W_ENT && via < 0; k++)
-        {
-          int e = (d + k) % W_ENT;
-          if (w->ent[e].alive && !w->ent[e].frozen
-              && world_reach (w, b->zone, w->ent[e].zone))
-            via = e;
-        }
-      if (via != i || !b->alive || b->frozen)
-        continue;
-      v[n] = (announce_t){ .group = str_fmt (p, "g%d", b->group),
-                           .name = str_of (b->name),
-                           .address = str_of (b->address),
-                           .zone = STR ("z"),
-                           .term = wdb_term (b),
-                           .position = b->pos,
-                           .leaving = b->leaving,
-                           .age = (int64_t)rng_below (&w->rng, 20) };
-      n++;
-    }
-  return n;
-}
-
-static size_t
-observe (world_t *w, int i, probe_t *v)
-{
-  went_t *x = &w->ent[i];
-
-  for (int d = 0; d < W_DB; d++)
-    {
-      const wdb_t *b = &w->db[d];
-      x->reached[d]
-          = b->alive && !b->frozen && world_reach (w, x->zone, b->zone);
-      if (x->reached[d])
-        x->answer[d] = w->now;
-      v[d] = (probe_t){ .name = str_of (b->name),
-                        .address = str_of (b->address),
-                        .reachable = x->reached[d],
-                        .ok_age = x->answer[d] ? w->now - x->answer[d] : -1 };
-    }
-  return W_DB;
-}
-
-static void
-renew (world_t *w, int i)
-{
-  went_t *x = &w->ent[i];
-  probe_t probes[W_DB];
-  announce_t ann[W_DB];
-  use_t uses[W_DB];
-  apr_pool_t *p;
-  int to = w->leader;
-
-  if (to < 0 || !world_reach (w, x->zone, to % W_ZONES))
-    to = (int)rng_below (&w->rng, W_CTL);
-  apr_pool_create (&p, w->pool);
-  renew_t r = { .name = str_fmt (p, "ent%d", i),
-                .boot = x->boot,
-                .seq = ++x->seq,
-                .sent = world_ent_now (w, i),
-                .cfg_term = x->cfg_term,
-                .cfg_index = x->cfg_index,
-                .raft_term = x->raft_term,
-                .probes = { probes, observe (w, i, probes) },
-                .announces = { ann, announces (w, i, p, ann) },
-                .uses = { uses, W_DB } };
-  for (int d = 0; d < W_DB; d++)
-    uses[d] = (use_t){ str_of (w->db[d].name), x->open[d], x->want[d] };
-  rpc_pack (&post (w, MSG_RENEWAL, i, to)->b, MSG_RENEW, &r);
-  apr_pool_destroy (p);
-}
-
-/* A message to a FROZEN process waits in its socket.  */
-static bool
-later (world_t *w, const wmsg_t *m, bool frozen)
-{
-  if (!frozen)
-    return false;
-  wmsg_t *again = post (w, m->kind, m->from, m->to);
-  again->cmd = m->cmd;
-  buf_adds (&again->b, buf_str (&m->b));
-  again->at = w->now + W_STEP;
-  return true;
-}
-
-static void
-on_renewal (world_t *w, const wmsg_t *m, apr_pool_t *p)
-{
-  msgtype_t type;
-  err_t e = { 0 };
-  grant_t g;
-  const renew_t *r = rpc_decode (p, buf_str (&m->b), &type, &e);
-
-  if (later (w, m, w->ctl[m->to].frozen) || !ctl_works (w, m->to)
-      || !world_reach (w, w->ent[m->from].zone, m->to % W_ZONES))
-    return;
-  control_renew (w->ctl[m->to].c, r, w->now, p, &g);
-  pump (w, m->to);
-  rpc_pack (&post (w, MSG_GRANTED, m->to, m->from)->b, MSG_GRANT, &g);
-}
-
-static void
-on_granted (world_t *w, const wmsg_t *m, apr_pool_t *p)
-{
-  went_t *x = &w->ent[m->to];
-  msgtype_t type;
-  err_t e = { 0 };
-  bool fresh;
-  const grant_t *g = rpc_decode (p, buf_str (&m->b), &type, &e);
-
-  if (later (w, m, x->frozen) || !x->alive
-      || !world_reach (w, x->zone, m->from % W_ZONES) || g->seq > x->seq
-      || !view_grant (x->view, g, world_ent_now (w, m->to), &fresh, &e))
-    return;
-  if (g->status != GRANT_NOT_LEADER && g->raft_term > x->raft_term)
-    x->raft_term = g->raft_term;
-  if (!fresh)
-    return;
-  x->cfg_term = g->cfg_term;
-  x->cfg_index = g->cfg_index;
-  x->cfg_version = g->cfg_version;
-}
-
-static void
-on_command (world_t *w, const wmsg_t *m)
-{
-  db_event_t ev = { .kind = DB_EV_RESULT, .cmd = m->cmd };
-
-  if (later (w, m, w->db[m->to].frozen))
-    return;
-  bool lost = !ctl_works (w, m->from);
-  if (!ctl_db (w, m->from, m->to))
-    {
-      err_set (&ev.err, ERR_UNREACHABLE, "db", "cut");
-      if (!lost)
-        control_db (w->ctl[m->from].c, &ev, w->now);
-      return;
-    }
-  apr_pool_create (&ev.pool, w->pool);
-  wdb_command (w, m->to, &m->cmd, &ev);
-  if (!lost)
-    {
-      ev.probe.ok_age = 0;
-      control_db (w->ctl[m->from].c, &ev, w->now);
-      pump (w, m->from);
-    }
-  apr_pool_destroy (ev.pool);
-}
-
-static void
-deliver (world_t *w)
-{
-  wmsg_t *due = NULL;
-  apr_pool_t *p;
-
-  for (wmsg_t **at = &w->msgs; *at;)
-    {
-      wmsg_t *m = *at;
-      if (m->at > w->now)
-        {
-          at = &m->next;
-          continue;
-        }
-      *at = m->next;
-      m->next = due;
-      due = m;
-    }
-  if (!due)
-    return;
-  apr_pool_create (&p, w->pool);
-  while (due)
-    {
-      wmsg_t *m = due;
-      due = m->next;
-      if (m->kind == MSG_RENEWAL)
-        on_renewal (w, m, p);
-      else if (m->kind == MSG_GRANTED)
-        on_granted (w, m, p);
-      else
-        on_command (w, m);
-      free_msg (m);
-    }
-  apr_pool_destroy (p);
-}
-
-static void
-ent_step (world_t *w, int i)
-{
-  went_t *x = &w->ent[i];
-
-  if (!x->alive || x->frozen)
-    return;
-  for (int d = 0; d < W_DB; d++)
-    {
-      int limit
-          = view_limit (x->view, str_of (w->db[d].name), world_ent_now (w, i));
-      x->open[d] = x->want[d] < limit ? x->want[d] : limit;
-    }
-  if (w->now - x->renewed < 100)
-    return;
-  x->renewed = w->now;
-  renew (w, i);
-}
-
 void
 world_run (world_t *w, msec_t ms)
 {
   for (msec_t end = w->now + ms; w->now < end;)
     {
       w->now += W_STEP;
-      deliver (w);
+      world_deliver (w);
       wdb_step (w);
-      raft_step (w);
+      world_raft_step (w);
       for (int i = 0; i < W_CTL; i++)
-        ctl_step (w, i);
+        world_ctl_step (w, i);
       for (int i = 0; i < W_ENT; i++)
-        ent_step (w, i);
+        world_ent_step (w, i);
     }
 }
 
@@ -678,10 +261,10 @@
                  .text = str_of (text) };
 
   memset (&w->answers[ticket], 0, sizeof w->answers[ticket]);
-  if (w->leader < 0 || !ctl_works (w, w->leader))
+  if (w->leader < 0 || !world_works (w, w->leader))
     return;
   control_submit (world_leader (w), &s, ticket, w->now);
-  pump (w, w->leader);
+  world_pump (w, w->leader);
 }
 
 grp_t *
--- a/test/world.h
+++ b/test/world.h
@@ -77,6 +77,13 @@
   int open[W_DB], want[W_DB];
 } went_t;
 
+enum
+{
+  W_RENEWAL,
+  W_GRANTED,
+  W_COMMAND
+};
+
 /* A message that arrives later.  */
 typedef struct wmsg wmsg_t;
 struct wmsg
@@ -157,6 +164,19 @@
 /* world_audit: number of records of the leader's trail with this text.  */
 int world_audit (world_t *w, const char *what);
 
+/* ---- parts of the world ---- */
+wmsg_t *world_post (world_t *w, int kind, int from, int to);
+void world_free_msg (wmsg_t *m);
+bool world_works (const world_t *w, int ctl);
+/* world_ctl_db: control instance I reaches database DB.  */
+bool world_ctl_db (const world_t *w, int i, int db);
+void world_start_ctl (world_t *w, int i);
+void world_pump (world_t *w, int i);
+void world_raft_step (world_t *w);
+void world_ctl_step (world_t *w, int i);
+void world_ent_step (world_t *w, int i);
+void world_deliver (world_t *w);
+
 /* ---- world_db.c ---- */
 void wdb_init (wdb_t *d, int i, bool primary);
 int64_t wdb_term (const wdb_t *d);
--- /dev/null
+++ b/test/world_ent.c
@@ -0,0 +1,219 @@
+#include "world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- entry instances ---- */
+
+static size_t
+announces (world_t *w, int i, apr_pool_t *p, announce_t *v)
+{
+  size_t n = 0;
+
+  for (int d = 0; d < W_DB; d++)
+    {
+      const wdb_t *b = &w->db[d];
+      int via = -1;
+      for (int k = 0; k < W_ENT && via < 0; k++)
+        {
+          int e = (d + k) % W_ENT;
+          if (w->ent[e].alive && !w->ent[e].frozen
+              && world_reach (w, b->zone, w->ent[e].zone))
+            via = e;
+        }
+      if (via != i || !b->alive || b->frozen)
+        continue;
+      v[n] = (announce_t){ .group = str_fmt (p, "g%d", b->group),
+                           .name = str_of (b->name),
+                           .address = str_of (b->address),
+                           .zone = STR ("z"),
+                           .term = wdb_term (b),
+                           .position = b->pos,
+                           .leaving = b->leaving,
+                           .age = (int64_t)rng_below (&w->rng, 20) };
+      n++;
+    }
+  return n;
+}
+
+static size_t
+observe (world_t *w, int i, probe_t *v)
+{
+  went_t *x = &w->ent[i];
+
+  for (int d = 0; d < W_DB; d++)
+    {
+      const wdb_t *b = &w->db[d];
+      x->reached[d]
+          = b->alive && !b->frozen && world_reach (w, x->zone, b->zone);
+      if (x->reached[d])
+        x->answer[d] = w->now;
+      v[d] = (probe_t){ .name = str_of (b->name),
+                        .address = str_of (b->address),
+                        .reachable = x->reached[d],
+                        .ok_age = x->answer[d] ? w->now - x->answer[d] : -1 };
+    }
+  return W_DB;
+}
+
+static void
+renew (world_t *w, int i)
+{
+  went_t *x = &w->ent[i];
+  probe_t probes[W_DB];
+  announce_t ann[W_DB];
+  use_t uses[W_DB];
+  apr_pool_t *p;
+  int to = w->leader;
+
+  if (to < 0 || !world_reach (w, x->zone, to % W_ZONES))
+    to = (int)rng_below (&w->rng, W_CTL);
+  apr_pool_create (&p, w->pool);
+  renew_t r = { .name = str_fmt (p, "ent%d", i),
+                .boot = x->boot,
+                .seq = ++x->seq,
+                .sent = world_ent_now (w, i),
+                .cfg_term = x->cfg_term,
+                .cfg_index = x->cfg_index,
+                .raft_term = x->raft_term,
+                .probes = { probes, observe (w, i, probes) },
+                .announces = { ann, announces (w, i, p, ann) },
+                .uses = { uses, W_DB } };
+  for (int d = 0; d < W_DB; d++)
+    uses[d] = (use_t){ str_of (w->db[d].name), x->open[d], x->want[d] };
+  rpc_pack (&world_post (w, W_RENEWAL, i, to)->b, MSG_RENEW, &r);
+  apr_pool_destroy (p);
+}
+
+/* A message to a FROZEN process waits in its socket.  */
+static bool
+later (world_t *w, const wmsg_t *m, bool frozen)
+{
+  if (!frozen)
+    return false;
+  wmsg_t *again = world_post (w, m->kind, m->from, m->to);
+  again->cmd = m->cmd;
+  buf_adds (&again->b, buf_str (&m->b));
+  again->at = w->now + W_STEP;
+  return true;
+}
+
+static void
+on_renewal (world_t *w, const wmsg_t *m, apr_pool_t *p)
+{
+  msgtype_t type;
+  err_t e = { 0 };
+  grant_t g;
+  const renew_t *r = rpc_decode (p, buf_str (&m->b), &type, &e);
+
+  if (later (w, m, w->ctl[m->to].frozen) || !world_works (w, m->to)
+      || !world_reach (w, w->ent[m->from].zone, m->to % W_ZONES))
+    return;
+  control_renew (w->ctl[m->to].c, r, w->now, p, &g);
+  world_pump (w, m->to);
+  rpc_pack (&world_post (w, W_GRANTED, m->to, m->from)->b, MSG_GRANT, &g);
+}
+
+static void
+on_granted (world_t *w, const wmsg_t *m, apr_pool_t *p)
+{
+  went_t *x = &w->ent[m->to];
+  msgtype_t type;
+  err_t e = { 0 };
+  bool fresh;
+  const grant_t *g = rpc_decode (p, buf_str (&m->b), &type, &e);
+
+  if (later (w, m, x->frozen) || !x->alive
+      || !world_reach (w, x->zone, m->from % W_ZONES) || g->seq > x->seq
+      || !view_grant (x->view, g, world_ent_now (w, m->to), &fresh, &e))
+    return;
+  if (g->status != GRANT_NOT_LEADER && g->raft_term > x->raft_term)
+    x->raft_term = g->raft_term;
+  if (!fresh)
+    return;
+  x->cfg_term = g->cfg_term;
+  x->cfg_index = g->cfg_index;
+  x->cfg_version = g->cfg_version;
+}
+
+static void
+on_command (world_t *w, const wmsg_t *m)
+{
+  db_event_t ev = { .kind = DB_EV_RESULT, .cmd = m->cmd };
+
+  if (later (w, m, w->db[m->to].frozen))
+    return;
+  bool lost = !world_works (w, m->from);
+  if (!world_ctl_db (w, m->from, m->to))
+    {
+      err_set (&ev.err, ERR_UNREACHABLE, "db", "cut");
+      if (!lost)
+        control_db (w->ctl[m->from].c, &ev, w->now);
+      return;
+    }
+  apr_pool_create (&ev.pool, w->pool);
+  wdb_command (w, m->to, &m->cmd, &ev);
+  if (!lost)
+    {
+      ev.probe.ok_age = 0;
+      control_db (w->ctl[m->from].c, &ev, w->now);
+      world_pump (w, m->from);
+    }
+  apr_pool_destroy (ev.pool);
+}
+
+void
+world_deliver (world_t *w)
+{
+  wmsg_t *due = NULL;
+  apr_pool_t *p;
+
+  for (wmsg_t **at = &w->msgs; *at;)
+    {
+      wmsg_t *m = *at;
+      if (m->at > w->now)
+        {
+          at = &m->next;
+          continue;
+        }
+      *at = m->next;
+      m->next = due;
+      due = m;
+    }
+  if (!due)
+    return;
+  apr_pool_create (&p, w->pool);
+  while (due)
+    {
+      wmsg_t *m = due;
+      due = m->next;
+      if (m->kind == W_RENEWAL)
+        on_renewal (w, m, p);
+      else if (m->kind == W_GRANTED)
+        on_granted (w, m, p);
+      else
+        on_command (w, m);
+      world_free_msg (m);
+    }
+  apr_pool_destroy (p);
+}
+
+void
+world_ent_step (world_t *w, int i)
+{
+  went_t *x = &w->ent[i];
+
+  if (!x->alive || x->frozen)
+    return;
+  for (int d = 0; d < W_DB; d++)
+    {
+      int limit
+          = view_limit (x->view, str_of (w->db[d].name), world_ent_now (w, i));
+      x->open[d] = x->want[d] < limit ? x->want[d] : limit;
+    }
+  if (w->now - x->renewed < 100)
+    return;
+  x->renewed = w->now;
+  renew (w, i);
+}
