Print control's rows as tables on request

--table aligns the rows of status, audit and explain, each kind under its own header, and shows times as dates.

--- a/cmd/pimentopost/options.c
+++ b/cmd/pimentopost/options.c
@@ -18,7 +18,8 @@
   OPT_COUNT,
   OPT_TIMEOUT,
   OPT_JSON,
-  OPT_LOCAL
+  OPT_LOCAL,
+  OPT_TABLE
 };
 
 static const struct argp_option common[] = {
@@ -38,6 +39,7 @@
   { "local", OPT_LOCAL, 0, 0,
     "Print the view of the instance that answers first, not of the leader",
     8 },
+  { "table", OPT_TABLE, 0, 0, "Print aligned tables with times as dates", 8 },
   { 0 },
 };
 
@@ -178,6 +180,9 @@
     case OPT_OPERATOR:
       t->operator_name = arg;
       return 0;
+    case OPT_TABLE:
+      t->table = true;
+      return 0;
     case OPT_LOCAL:
       t->local = true;
       return 0;
--- a/cmd/pimentopost/query.c
+++ b/cmd/pimentopost/query.c
@@ -5,8 +5,10 @@
 /* Prints the answer of control; a text without a newline at its end gets
    one.  */
 static void
-print_text (str_t text)
+print_text (const tool_t *t, str_t text)
 {
+  if (t->table && print_table (text))
+    return;
   if (text.p == NULL || text.n == 0)
     return;
   fwrite (text.p, 1, text.n, stdout);
@@ -35,11 +37,11 @@
                 .arg = arg,
                 .since = t->since,
                 .limit = t->limit,
-                .json = t->json };
+                .json = t->json || t->table };
   query_resp_t *r = ask (t, &q, e);
 
   if (r)
-    print_text (r->text);
+    print_text (t, r->text);
   return r != NULL;
 }
 
@@ -96,13 +98,13 @@
 static bool
 watch_once (tool_t *t, str_t *last, bool final, err_t *e)
 {
-  query_t q = { .what = STR ("status"), .json = t->json };
+  query_t q = { .what = STR ("status"), .json = t->json || t->table };
   query_resp_t *r = ask (t, &q, e);
 
   if (r == NULL && !final)
     report (e);
   if (r && !str_eq (r->text, *last))
-    print_text (r->text);
+    print_text (t, r->text);
   if (r)
     *last = r->text;
   else
--- a/cmd/pimentopost/tool.h
+++ b/cmd/pimentopost/tool.h
@@ -17,6 +17,7 @@
 {
   apr_pool_t *pool;
   bool json;
+  bool table; /* rows as aligned tables */
   bool local; /* the view of the instance asked, not of the leader */
   str_t servers[MAX_SERVERS]; /* control instances, host:port */
   size_t nservers;
@@ -69,6 +70,9 @@
 /* wait_in_force: until the configuration at INDEX of the log, or a later one,
    is in force on every reachable entry instance.  */
 bool wait_in_force (tool_t *t, int64_t index, msec_t until, err_t *e);
+/* print_table: rows of control in JSON as aligned tables; false when JSON is
+   something else.  */
+bool print_table (str_t json);
 /* sqlstate_text: what a refusal means, or NULL.  */
 const char *sqlstate_text (const char *state);
 /* json_string: S as a JSON string at the end of B.  */
--- a/test/test_cli.c
+++ b/test/test_cli.c
@@ -327,6 +327,30 @@
 }
 END_TEST
 
+/* Guards against rows of different kinds under one header, and against times
+   that people cannot read.  */
+START_TEST (tables)
+{
+  static const char *const status[]
+      = { "[\n{\"a\":\"x\",\"wall\":1796362789962},\n{\"a\":\"longer\","
+          "\"wall\":0},\n{\"b\":\"\",\"c\":true}\n]\n",
+          "plain\n" };
+  static const step_t none[] = { DO_DROP };
+  fake_t f = { .status = status, .nstatus = 2 };
+  char out[2000];
+
+  fake_start (&f, PORT, none, 1);
+  run_tool ("audit --table -s 127.0.0.1:22990", out, sizeof out);
+  ck_assert_str_eq (out, "a       wall\n"
+                         "x       2026-12-04T05:39:49.962Z\n"
+                         "longer  1970-01-01T00:00:00.000Z\n\n"
+                         "b  c\n-  true\n");
+  run_tool ("config --table -s 127.0.0.1:22990", out, sizeof out);
+  fake_stop (&f);
+  ck_assert_str_eq (out, "plain\n");
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -348,6 +372,7 @@
   tcase_add_loop_test (t, outcomes, 0, 5);
   tcase_add_test (t, waits_until_in_force);
   tcase_add_test (t, prefers_leader);
+  tcase_add_test (t, tables);
   tcase_add_test (t, watch_prints_changes);
   suite_add_tcase (s, t);
   r = srunner_create (s);
