--- a/test/rules.mk
+++ b/test/rules.mk
@@ -20,6 +20,19 @@
 
 .PHONY: fuzz-raft
 
+FUZZ_CONTROL_OBJ = $(patsubst %,$(FB)/test/%.o,oracle oracle_check world world_db world_ent world_raft)
+$(FB)/fuzz_control: $(FUZZ_CONTROL_OBJ)
+$(FB)/fuzz_control: EXTRA_LDFLAGS += $(CHECK_LIBS)
+
+# A run of the fuzz target of control and routing alone, of so many operations.
+FUZZ_CONTROL_OPS ?= 1000000
+fuzz-control: $(FB)/fuzz_control
+	@mkdir -p $(FB)/corpus/control
+	FUZZ_CONTROL_OPS=$(FUZZ_CONTROL_OPS) $(FB)/fuzz_control -max_len=4096 -len_control=0 -seed=1 \
+	  -timeout=120 -rss_limit_mb=4096 -artifact_prefix=$(FB)/ $(FB)/corpus/control
+
+.PHONY: fuzz-control
+
 demo: deps
 	@$(MAKE) --no-print-directory all
 	@timeout 115 tools/demo $(B)
