--- a/cmd/pimentopost/submit.c
+++ b/cmd/pimentopost/submit.c
@@ -2,8 +2,10 @@
 
 #include "conf.h"
 
+#include <pwd.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 /* The same command gives the same id, so that repeating it after a lost
    answer gives the first outcome.  */
@@ -25,15 +27,29 @@
       t->servers[t->nservers++] = c->instances[i].address;
 }
 
+static const char *
+operator_name (const tool_t *t)
+{
+  const char *user = getenv ("USER");
+  const struct passwd *pw;
+
+  if (t->operator_name)
+    return t->operator_name;
+  if (user && *user)
+    return user;
+  pw = getpwuid (getuid ());
+  return pw ? pw->pw_name : "";
+}
+
 static bool
 prepare (tool_t *t, submit_t *s, err_t *e)
 {
-  const char *who = t->operator_name ? t->operator_name : getenv ("USER");
+  const char *who = operator_name (t);
   config_t *c;
 
   if (t->base < 0)
     return err_set (e, ERR_USAGE, "--base", "is required");
-  if (who == NULL || *who == '\0')
+  if (*who == '\0')
     return err_set (e, ERR_USAGE, "--operator", "is required");
   s->base = t->base;
   s->operator_name = str_of (who);
--- a/test/submit.sh
+++ b/test/submit.sh
@@ -7,6 +7,9 @@
 set -u
 B=$1
 . test/cluster.inc
+# The ports are fixed, and another worktree may run the same test.
+exec 9>"${TMPDIR:-/tmp}/pimentopost-submit.lock"
+flock -w 120 9 || fail "another run holds the ports"
 Q=$W/tan.yaml
 sed 's/127\.0\.0\.1:22\([01]\)/127.0.0.1:22\1/; s/:220/:225/; s/:221/:226/' examples/tan.yaml >"$Q"
 T=$B/bin/pimentopost
--- a/test/test_cli.c
+++ b/test/test_cli.c
@@ -3,6 +3,7 @@
 #include "rpc.h"
 
 #include <apr_general.h>
+#include <arpa/inet.h>
 #include <check.h>
 #include <poll.h>
 #include <pthread.h>
@@ -15,7 +16,6 @@
 
 enum
 {
-  PORT = 22990,
   MAX_SEEN = 64
 };
 
@@ -35,13 +35,14 @@
 typedef struct
 {
   int fd;
+  str_t address;
   int stop[2];
   pthread_t thread;
   const step_t *steps;
   int nsteps;
   const char *const *status;
   int nstatus;
-  const char *leader; /* named in answers to queries */
+  str_t leader; /* named in answers */
   int submits;
   int queries;
   char ids[MAX_SEEN][64];
@@ -71,7 +72,7 @@
       return;
     case DO_FOLLOW:
       r.status = SUBMIT_NOT_LEADER;
-      r.leader = STR ("127.0.0.1:22991");
+      r.leader = f->leader;
       break;
     case DO_UNKNOWN:
       r.status = SUBMIT_UNKNOWN;
@@ -95,9 +96,8 @@
 answer_query (fake_t *f, buf_t *out)
 {
   int i = f->queries < f->nstatus ? f->queries : f->nstatus - 1;
-  query_resp_t r = { .ok = true,
-                     .text = str_of (f->status[i]),
-                     .leader = str_of (f->leader) };
+  query_resp_t r
+      = { .ok = true, .text = str_of (f->status[i]), .leader = f->leader };
 
   f->queries++;
   rpc_encode (out, MSG_QUERY_RESP, &r);
@@ -147,14 +147,18 @@
 }
 
 static void
-fake_start (fake_t *f, int port, const step_t *steps, int n)
+fake_start (fake_t *f, const step_t *steps, int n)
 {
+  struct sockaddr_in sa = { 0 };
+  socklen_t len = sizeof sa;
   err_t e = { 0 };
 
   f->steps = steps;
   f->nsteps = n;
-  f->fd = rpc_listen (str_fmt (pool, "127.0.0.1:%d", port), &e);
+  f->fd = rpc_listen (STR ("127.0.0.1:0"), &e);
   ck_assert_msg (f->fd >= 0, "%s", e.detail);
+  ck_assert_int_eq (getsockname (f->fd, (struct sockaddr *)&sa, &len), 0);
+  f->address = str_fmt (pool, "127.0.0.1:%d", ntohs (sa.sin_port));
   ck_assert_int_eq (pipe (f->stop), 0);
   ck_assert_int_eq (pthread_create (&f->thread, NULL, fake_main, f), 0);
 }
@@ -169,12 +173,13 @@
   close (f->stop[1]);
 }
 
-/* Runs the tool with ARGS through the shell; returns the exit code, with the
-   output of both streams in OUT.  */
+/* Runs the tool with ARGS through the shell against F; returns the exit code,
+   with the output of both streams in OUT.  */
 static int
-run_tool (const char *args, char *out, size_t size)
+run_tool (const fake_t *f, const char *args, char *out, size_t size)
 {
-  str_t cmd = str_fmt (pool, "%s %s 2>&1", tool, args);
+  str_t cmd = str_fmt (pool, "%s %s --server " STR_FMT " 2>&1", tool, args,
+                       STR_ARG (f->address));
   FILE *p = popen (cmd.p, "r");
 
   ck_assert_ptr_nonnull (p);
@@ -198,7 +203,7 @@
 }
 
 #define SUBMIT                                                                \
-  "submit --base 7 --operator tan --server 127.0.0.1:22990 --timeout 3s "     \
+  "submit --base 7 --operator tan --timeout 3s "                              \
   "examples/tan.yaml "
 
 /* Guards against a submission that runs twice under two ids after its answer
@@ -211,9 +216,10 @@
   fake_t leader = { 0 };
   char out[2000];
 
-  fake_start (&f, PORT, one, 3);
-  fake_start (&leader, PORT + 1, two, 2);
-  ck_assert_msg (run_tool (SUBMIT, out, sizeof out) == 0, "%s", out);
+  fake_start (&leader, two, 2);
+  f.leader = leader.address;
+  fake_start (&f, one, 3);
+  ck_assert_msg (run_tool (&f, SUBMIT, out, sizeof out) == 0, "%s", out);
   ck_assert_ptr_nonnull (strstr (out, "accepted as version 8"));
   fake_stop (&f);
   fake_stop (&leader);
@@ -246,8 +252,9 @@
   char out[2000];
   int code;
 
-  fake_start (&f, PORT, &cases[_i].step, 1);
-  code = run_tool (SUBMIT "--timeout 400ms", out, sizeof out);
+  f.leader = STR ("127.0.0.1:1"); /* refuses connections */
+  fake_start (&f, &cases[_i].step, 1);
+  code = run_tool (&f, SUBMIT "--timeout 400ms", out, sizeof out);
   fake_stop (&f);
   ck_assert_msg (code == cases[_i].exit, "%d: %s", code, out);
   ck_assert_msg (strstr (out, cases[_i].text) != NULL, "%s", out);
@@ -272,13 +279,14 @@
   fake_t f = { .status = status, .nstatus = 4 };
   char out[2000];
 
-  fake_start (&f, PORT, steps, 1);
-  ck_assert_msg (run_tool (SUBMIT "--wait", out, sizeof out) == 0, "%s", out);
+  fake_start (&f, steps, 1);
+  ck_assert_msg (run_tool (&f, SUBMIT "--wait", out, sizeof out) == 0, "%s",
+                 out);
   ck_assert_int_eq (f.queries, 4);
   f.nstatus = 3;
   f.queries = 0;
   ck_assert_int_eq (
-      run_tool (SUBMIT "--wait --timeout 300ms", out, sizeof out), 5);
+      run_tool (&f, SUBMIT "--wait --timeout 300ms", out, sizeof out), 5);
   ck_assert_msg (strstr (out, "1 entry instances are behind") != NULL, "%s",
                  out);
   fake_stop (&f);
@@ -292,18 +300,22 @@
   static const char *const mine[] = { "follower's" };
   static const char *const theirs[] = { "leader's" };
   static const step_t none[] = { DO_DROP };
-  fake_t f = { .status = mine, .nstatus = 1, .leader = "127.0.0.1:22991" };
+  fake_t f = {
+    .status = mine,
+    .nstatus = 1,
+  };
   fake_t leader = { .status = theirs, .nstatus = 1 };
   char out[2000];
 
-  fake_start (&f, PORT, none, 1);
-  fake_start (&leader, PORT + 1, none, 1);
-  run_tool ("status -s 127.0.0.1:22990", out, sizeof out);
+  fake_start (&leader, none, 1);
+  f.leader = leader.address;
+  fake_start (&f, none, 1);
+  run_tool (&f, "status", out, sizeof out);
   ck_assert_str_eq (out, "leader's\n");
-  run_tool ("status -s 127.0.0.1:22990 --local", out, sizeof out);
+  run_tool (&f, "status --local", out, sizeof out);
   ck_assert_str_eq (out, "follower's\n");
   fake_stop (&leader);
-  run_tool ("status -s 127.0.0.1:22990", out, sizeof out);
+  run_tool (&f, "status", out, sizeof out);
   ck_assert_str_eq (out, "follower's\n");
   fake_stop (&f);
 }
@@ -317,8 +329,9 @@
   fake_t f = { .status = status, .nstatus = 3 };
   char out[2000];
 
-  fake_start (&f, PORT, none, 1);
-  ck_assert_int_eq (run_tool ("watch --server 127.0.0.1:22990 --interval 1ms "
+  fake_start (&f, none, 1);
+  ck_assert_int_eq (run_tool (&f,
+                              "watch --interval 1ms "
                               "--count 4",
                               out, sizeof out),
                     0);
@@ -339,13 +352,13 @@
   fake_t f = { .status = status, .nstatus = 2 };
   char out[2000];
 
-  fake_start (&f, PORT, none, 1);
-  run_tool ("audit --table -s 127.0.0.1:22990", out, sizeof out);
+  fake_start (&f, none, 1);
+  run_tool (&f, "audit --table", out, sizeof out);
   ck_assert_str_eq (out, "a       wall\n"
                          "x       2026-12-04T05:39:49.962Z\n"
                          "longer  1970-01-01T00:00:00.000Z\n\n"
                          "b  c\n-  true\n");
-  run_tool ("config --table -s 127.0.0.1:22990", out, sizeof out);
+  run_tool (&f, "config --table", out, sizeof out);
   fake_stop (&f);
   ck_assert_str_eq (out, "plain\n");
 }
