--- /dev/null
+++ b/test/entry_process.sh
@@ -0,0 +1,144 @@
+#!/bin/sh
+# Two entry instances, three control instances and one group of stand-in
+# databases as separate processes: what a client sees through faults.
+set -u
+B=$1
+. test/cluster.inc
+cat >"$W/small.yaml" <<'END'
+team: small
+region: r
+availability_zones: [z1, z2, z3]
+groups:
+  - name: ledger
+    databases: 3
+    slots: 3
+    connections: 20
+    connect_time: 1ms
+instances:
+  - name: e-entry-1
+    role: entry
+    availability_zone: z1
+    address: 127.0.0.1:22001
+    health: 127.0.0.1:22101
+  - name: e-entry-2
+    role: entry
+    availability_zone: z2
+    address: 127.0.0.1:22002
+    health: 127.0.0.1:22102
+  - name: e-control-1
+    role: control
+    availability_zone: z1
+    address: 127.0.0.1:22051
+    health: 127.0.0.1:22151
+  - name: e-control-2
+    role: control
+    availability_zone: z2
+    address: 127.0.0.1:22052
+    health: 127.0.0.1:22152
+  - name: e-control-3
+    role: control
+    availability_zone: z3
+    address: 127.0.0.1:22053
+    health: 127.0.0.1:22153
+request_kinds:
+  - name: sale
+    worth: 10
+    deadline: 3s
+    repeatable: false
+    key: required
+    effect: write
+END
+mkdir "$W/q" && mv "$W/small.yaml" "$W/q"
+deploy "$W/q/small.yaml" 23 23600
+E1=$(port "$(field e-entry-1 address)")
+
+# see TEXT STATEMENT...: fails unless the answers of one session through the
+# first entry instance contain TEXT.
+see () {
+  text=$1; shift
+  got=$(client e-entry-1 ledger "$@")
+  case $got in *"$text"*) ;; *) fail "$*: expected '$text', got '$got'" ;; esac
+}
+token () { client e-entry-1 ledger "UPDATE n SET val = '1' WHERE id = '$1'" "SHOW pimentopost.token" | tail -1; }
+metric () { curl -s "http://$(field e-entry-1 health)/metrics" | awk -v n="$1" '$1 == n { print $2 }'; }
+
+# R1, also on another entry instance, with a token and without.
+see "a|1" "INSERT INTO t(id, val) VALUES ('a', '1')" "SELECT id, val FROM t WHERE id = 'a'"
+for i in 1 2 3 4 5 6 7 8 9 10; do
+  t=$(client e-entry-1 ledger "UPDATE t SET val = '$i' WHERE id = 'a'" "SHOW pimentopost.token" | tail -1)
+  [ "$(client e-entry-2 ledger "SET pimentopost.token = '$t'" "SELECT val FROM t WHERE id = 'a'")" = "$i" ] || fail "stale with token $t"
+  [ "$(client e-entry-2 ledger "SELECT val FROM t WHERE id = 'a'")" = "$i" ] || fail "stale without a token"
+done
+
+# Blocks, settings that follow the session, refusals that say "not run".
+see "b|2" "BEGIN" "INSERT INTO t(id, val) VALUES ('b', '2')" "COMMIT" "SELECT id, val FROM t WHERE id = 'b'"
+see "two" "SET search_path = 'one'" "BEGIN" "SET search_path = 'two'" "COMMIT" "SHOW search_path"
+see "one" "SET search_path = 'one'" "BEGIN" "SET search_path = 'two'" "ROLLBACK" "SHOW search_path"
+[ -z "$(client e-entry-1 ledger "SHOW search_path")" ] || fail "a setting leaked into another session"
+see "not run" "LISTEN x"
+see "not run" "/* pimentopost kind=nokind */ SELECT 1"
+see "not run" "/* pimentopost kind=sale */ INSERT INTO t(id, val) VALUES ('k', '1')"
+
+# R6: a keyed write runs once and gives its first answer again.
+K="/* pimentopost kind=sale key=K1 */ UPDATE t SET val = val + 1 WHERE id = 'b' RETURNING val"
+see "3" "$K"
+see "3" "$K"
+see "3" "SELECT val FROM t WHERE id = 'b'"
+
+# Extended protocol and prepared statements across pooled connections.
+echo "SELECT val FROM t WHERE id = 'b';" >"$W/read.sql"
+echo "UPDATE t SET val = '5' WHERE id = 'c';" >"$W/write.sql"
+for mode in extended prepared; do
+  for f in read write; do
+    pgbench -n -h 127.0.0.1 -p "$E1" -U u -c 8 -j 2 -t 200 -M $mode -f "$W/$f.sql" ledger >"$W/pgbench.log" 2>&1 &&
+      grep -q "actually processed: 1600/1600" "$W/pgbench.log" || { cat "$W/pgbench.log"; fail "pgbench $mode $f"; }
+  done
+done
+[ "$(metric 'pimentopost_reads_total{database="replica"}')" -gt 3000 ] || fail "replicas served few reads"
+
+# R3: a cancel ends its own request only, and its connection is not reused.
+timeout 10 psql -X -q -At "host=127.0.0.1 port=$E1 user=u dbname=ledger" -c "SELECT pg_sleep(5)" >"$W/cancel.log" 2>&1 &
+C=$!; PIDS="$PIDS $C"
+sleeping () { client e-entry-1 pimentopost "SHOW SESSIONS" | grep -q "|database$"; }
+until_true 3 sleeping || fail "the request does not run"
+kill -INT $C; wait $C
+grep -q "cancel" "$W/cancel.log" || fail "not cancelled: $(cat "$W/cancel.log")"
+see "5" "SELECT 5"
+
+# R2: the process is stopped for longer than its lease while a commit waits for
+# its confirmation; when it wakes up it does not acknowledge.
+P=$(primary_of ledger)
+for i in 1 2 3; do [ "$i" = "$P" ] || fault "$(cat "$W/ledger-$i.port")" lag 700 >/dev/null; done
+client e-entry-1 ledger "/* pimentopost deadline=5000 */ INSERT INTO t(id, val) VALUES ('z', '1')" >"$W/frozen.log" 2>&1 &
+C=$!
+until_true 3 sleeping || fail "the write does not run"
+kill -STOP "$(cat "$W/e-entry-1.pid")"; sleep 1.2; kill -CONT "$(cat "$W/e-entry-1.pid")"
+wait $C
+grep -q "outcome unknown" "$W/frozen.log" || fail "acknowledged after its lease: $(cat "$W/frozen.log")"
+for i in 1 2 3; do fault "$(cat "$W/ledger-$i.port")" heal >/dev/null; done
+until_true 5 serves e-entry-1 ledger || fail "no service after the stop"
+
+# Failover: the primary freezes; a write in the same session is answered
+# truthfully, the next ones reach the new primary, and nothing is lost.
+P=$(primary_of ledger)
+fault "$(cat "$W/ledger-$P.port")" freeze 3000 >/dev/null
+moved () { serves e-entry-1 ledger && serves e-entry-2 ledger; }
+until_true 6 moved || fail "no new primary"
+see "3" "SELECT val FROM t WHERE id = 'b'"
+see "3" "$K"
+
+# R8: a planned stop interrupts no request; health fails first.
+client e-entry-1 ledger "SELECT pg_sleep(1.5)" "SELECT 6" >"$W/drain.log" 2>&1 &
+C=$!
+until_true 3 sleeping || fail "the request does not run"
+kill -TERM "$(cat "$W/e-entry-1.pid")"
+unhealthy () { curl -s -o "$W/health" -w '%{http_code}' "http://$(field e-entry-1 health)/health" | grep -q 503; }
+until_true 1 unhealthy || fail "healthy while stopping"
+wait $C
+grep -q "57P01\|shutting down" "$W/drain.log" || fail "no farewell: $(cat "$W/drain.log")"
+grep -q "outcome unknown\|ERROR" "$W/drain.log" && fail "interrupted: $(cat "$W/drain.log")"
+ended () { ! kill -0 "$(cat "$W/e-entry-1.pid")"; }
+until_true 5 ended || fail "does not end"
+grep -q "STOP pid" "$W/e-entry-1.log" || fail "no orderly end"
+stop_all
+echo "entry_process: ok"
