--- a/cmd/ppload/report.c
+++ b/cmd/ppload/report.c
@@ -149,12 +149,13 @@
            "\"served\":%lld,\"late\":%lld,\"refused\":%lld,\"unknown\":%lld,"
            "\"failed\":%lld,\"resent\":%lld,\"worth\":%.1f,"
            "\"worth_served\":%.1f,\"replica_share\":%.4f,"
-           "\"worst_gap_ms\":%lld",
+           "\"worst_gap_ms\":%lld,\"start_wall\":%lld",
            STR_ARG (l->title), l->baseline ? "true" : "false",
            (long long)t.sent, (long long)t.ok, (long long)t.late,
            (long long)t.refused, (long long)t.unknown, (long long)t.failed,
            (long long)t.resent, t.worth, t.worth_ok, replica_share (l),
-           (long long)worst_gap (l));
+           (long long)worst_gap (l),
+           (long long)(msec_wall () - (msec_now () - l->start)));
   for (int i = 0; i < RULES; i++)
     fprintf (f, ",\"%s\":%lld", rule_name ((rule_t)i),
              (long long)l->broken[i]);
