--- a/lib/control/entry.c
+++ b/lib/control/entry.c
@@ -26,7 +26,8 @@
 
   for (size_t i = 0; i < r->uses.n; i++)
     open += LIST_AT (r->uses, use_t, i)->open;
-  if (t->told_unknown && open == 0 && r->raft_term == c->raft_term)
+  if (t->told_unknown && open == 0 && !r->brief
+      && r->raft_term == c->raft_term)
     propose (c, t, 2, "removed from the configuration, holds nothing", now);
   t->told_unknown = true;
 }
@@ -55,6 +56,7 @@
   t->boot = r->boot;
   t->seen = now;
   t->stopping = r->stopping;
+  t->cfg_index = r->cfg_index;
   if (!t->up && !r->stopping)
     propose (c, t, 1, "renewed", now);
   else if (t->up && r->stopping)
