--- /dev/null
+++ b/test/fault_entry.sh
@@ -0,0 +1,34 @@
+#!/bin/sh
+# An entry process is killed inside a transaction, and another under load: the
+# transaction is rolled back, keyed requests whose answer was lost are resent
+# through other instances and run once.
+set -u
+B=$1
+. test/cluster.inc
+small
+{ echo "BEGIN; INSERT INTO t(id, val) VALUES ('half', '1'); SELECT 1;"; sleep 5; } |
+  psql -X -q -At "host=127.0.0.1 port=$(port "$(field small-entry-1 address)") user=u dbname=ledger" >"$W/half" 2>&1 &
+PIDS="$PIDS $!"
+until_true 3 grep -q 1 "$W/half" || fail "the transaction did not begin"
+stop small-entry-1 KILL
+gone () { client small-entry-2 ledger "INSERT INTO t(id, val) VALUES ('half', '2')" "SELECT val FROM t WHERE id = 'half'" | grep -q '^2$'; }
+until_true 5 gone || fail "the transaction of the killed entry process lives on"
+start_instance small-entry-1
+until_true 5 serves small-entry-1 ledger || fail "the entry process does not serve again"
+load_begin 9
+for n in 2 3; do
+  sleep 2
+  stop small-entry-$n KILL
+  sleep 0.5
+  start_instance small-entry-$n
+done
+load_end
+[ "$(report resent)" -gt 0 ] || fail "no request was resent"
+
+# A planned stop interrupts no request.
+load_begin 4
+sleep 1
+stop small-entry-3
+load_end
+[ "$(report unknown)" -eq 0 ] || fail "a planned stop left an outcome unknown"
+echo ok
