Ignore roles that an entry instance saw in earlier terms

Cause: an entry instance reports the role that it saw last. Change: no role is reported before the database was asked; control ignores roles of terms before the present one. Ruled out: failed connections (none in the logs) and missed probes (DATABASE_SILENT only at the end).

--- a/lib/control/detect.c
+++ b/lib/control/detect.c
@@ -99,15 +99,17 @@
   known (m, now);
 }
 
-/* P shows the database as what it should be.  An entry instance that has not
-   asked for the role leaves it empty.  */
+/* P shows the database as what it should be.  An entry instance tells the role
+   that it saw last, or none; before the present term that says nothing.  */
 static bool
-in_role (const control_t *c, const mem_t *m, const probe_t *p)
+in_role (const control_t *c, const mem_t *m, const probe_t *p, bool control)
 {
   const grp_t *g = grp_find (c, str_of (m->group));
 
   if (!g || strcmp (g->primary, m->name) != 0 || !p->role.n)
     return true;
+  if (!control && p->term < g->term)
+    return true;
   return p->term == g->term && str_eq (p->role, STR ("primary"));
 }
 
@@ -120,9 +122,9 @@
   if (!m || !str_eq (str_of (m->address), p->address))
     return;
   obs_t *o = observer (m, who, control, now);
-  bool good = p->reachable && in_role (c, m, p);
+  bool good = p->reachable && in_role (c, m, p, control);
   o->at = now;
-  if (p->ok_age >= 0 && in_role (c, m, p) && now - p->ok_age > o->ok)
+  if (p->ok_age >= 0 && in_role (c, m, p, control) && now - p->ok_age > o->ok)
     o->ok = now - p->ok_age;
   if (good)
     o->bad_since = 0;
--- a/lib/entry/link.c
+++ b/lib/entry/link.c
@@ -139,7 +139,8 @@
   p->ok_age = d->ok_age;
   p->term = d->term;
   p->position = d->pos;
-  p->role = d->primary ? STR ("primary") : STR ("replica");
+  if (d->term > 0)
+    p->role = d->primary ? STR ("primary") : STR ("replica");
 }
 
 static void
--- a/test/test_control_failover.c
+++ b/test/test_control_failover.c
@@ -171,6 +171,28 @@
 }
 END_TEST
 
+/* Guards against entry instances that have not asked a new primary since its
+   promotion being counted as having lost it.  */
+START_TEST (roles_of_earlier_terms_say_nothing)
+{
+  world_t *w = start (21);
+  mem_t *m = world_mem (w, 0);
+  probe_t p = { .name = str_of (m->name),
+                .address = str_of (m->address),
+                .reachable = true,
+                .term = 0,
+                .role = STR ("replica") };
+
+  m->nobs = 0;
+  detect_probe (world_leader (w), STR ("ent0"), false, &p, w->now);
+  ck_assert (m->obs[0].reachable);
+  p.term = 1;
+  detect_probe (world_leader (w), STR ("ent0"), false, &p, w->now);
+  ck_assert (!m->obs[0].reachable);
+  world_free (w);
+}
+END_TEST
+
 /* Guards against a flapping primary causing one promotion after another.  */
 START_TEST (flapping_group)
 {
@@ -288,6 +310,7 @@
                         second_loss_after_repair,
                         flapping_group,
                         opinions_restart_with_a_promotion,
+                        roles_of_earlier_terms_say_nothing,
                         resumed_by_next_leader,
                         new_leader_waits,
                         lost_disk_does_not_count,
