--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -47,5 +47,7 @@
     return refuse (&e);
   for (int i = 0; i < in->nworkers; i++)
     sup_add (sup, worker_duty (in->worker[i]));
-  return sup_main (sup);
+  int code = sup_main (sup);
+  apr_pool_destroy (pool);
+  return code;
 }
--- a/lib/entry/link.c
+++ b/lib/entry/link.c
@@ -375,6 +375,10 @@
     cycle (l);
   disconnect (l);
   drop_announcements (l);
+  buf_free (&l->rx);
+  buf_free (&l->tx);
+  for (int i = 0; i < l->in->nworkers; i++)
+    free (l->last[i]);
   return true;
 }
 
--- a/lib/entry/loop.c
+++ b/lib/entry/loop.c
@@ -227,6 +227,28 @@
     }
 }
 
+/* What is left when the loop ends: idle connections and recycled memory.  */
+static void
+clear (worker_t *w)
+{
+  for (dbpool_t *d = w->dbs; d; d = d->next)
+    for (int i = 0; i < POOL_MAX; i++)
+      if (d->conn[i])
+        conn_close (d->conn[i]);
+  session_bury (w);
+  conn_bury (w);
+  while (w->nspares)
+    free (w->spare[--w->nspares]);
+  while (w->free_reqs)
+    {
+      req_t *r = w->free_reqs;
+      w->free_reqs = r->next;
+      free (r->msg);
+      free (r->op);
+      free (r);
+    }
+}
+
 static bool
 drained (worker_t *w)
 {
@@ -262,6 +284,7 @@
       session_bury (w);
       conn_bury (w);
     }
+  clear (w);
   return true;
 }
 
