--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,7 @@
 	  echo "$$n: $$(grep -E 'number_of_executed_units' $(FB)/$$n.log)"; done
 
 fmt:
-	clang-format --dry-run -Werror $(CSRC)
+	@clang-format --dry-run -Werror $(CSRC)
 
 format:
 	clang-format -i $(CSRC)
--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -227,7 +227,7 @@
   bool told_unknown;
   bool stopping;
   int64_t cfg_index; /* of the configuration that it has in force */
-  msec_t added; /* when the configuration first named it; 0 unknown */
+  msec_t added;      /* when the configuration first named it; 0 unknown */
   msec_t proposed;
   uint64_t digest; /* of the databases and terms in the last grant */
 } ent_t;
