--- a/test/fuzz_raft.c
+++ b/test/fuzz_raft.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+int LLVMFuzzerInitialize (int *argc, char ***argv);
 
 enum
 {
@@ -253,6 +254,20 @@
   sim_free (s);
 }
 
+static void
+print_ops (void)
+{
+  fprintf (stderr, "stat::operations: %lld\n", (long long)fuzz_ops);
+}
+
+int
+LLVMFuzzerInitialize (int *argc, char ***argv)
+{
+  (void)argc;
+  (void)argv;
+  return atexit (print_ops);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
