Make the entry process die with requests under way

At 150 requests/s a killed process often had no request under way, so that nothing was resent. It is stopped for 0.3 s first.

--- a/cmd/ppload/work.c
+++ b/cmd/ppload/work.c
@@ -55,12 +55,14 @@
 
   if (r->op == OP_INSERT)
     {
-      snprintf (s->row, sizeof s->row, "s%d-%d", s->n, s->rows++);
+      snprintf (s->row, sizeof s->row, "s%d-%d.%llu", s->n, s->rows++,
+                (unsigned long long)l->rng.seed);
       s->ntags = s->used = 0;
       s->live = false;
     }
   if (r->op == OP_BLOCK)
-    snprintf (id, sizeof id, "b%d-%d", s->n, s->rows++);
+    snprintf (id, sizeof id, "b%d-%d.%llu.", s->n, s->rows++,
+              (unsigned long long)l->rng.seed);
   else
     snprintf (id, sizeof id, "%s", s->row);
   s->used++;
--- a/test/fault_entry.sh
+++ b/test/fault_entry.sh
@@ -18,6 +18,9 @@
 load_begin 9
 for n in 2 3; do
   sleep 2
+  # Stopped first, so that requests are under way when it dies.
+  kill -STOP "$(cat "$W/small-entry-$n.pid")"
+  sleep 0.3
   stop small-entry-$n KILL
   sleep 0.5
   start_instance small-entry-$n
@@ -26,7 +29,7 @@
 [ "$(report resent)" -gt 0 ] || fail "no request was resent"
 
 # A planned stop interrupts no request.
-load_begin 4
+load_begin 4 -S 2
 sleep 1
 stop small-entry-3
 load_end
