--- a/lib/control/detect.c
+++ b/lib/control/detect.c
@@ -121,10 +121,6 @@
 
   if (!m || !str_eq (str_of (m->address), p->address))
     return;
-  /* An entry instance learns a new term only from its next status row, so
-     what it says of an older one is no opinion.  */
-  if (!control && !in_role (c, m, p))
-    return;
   obs_t *o = observer (m, who, control, now);
   bool good = p->reachable && in_role (c, m, p, control);
   o->at = now;
