Let the questionnaire decide which control instances belong to the cell

A new instance named by the configuration joins as a learner; members that it does not name are removed once all it names are voters, so that a wrong questionnaire cannot leave a cell without its members.

--- a/cmd/pimentopostd/act.c
+++ b/cmd/pimentopostd/act.c
@@ -123,10 +123,23 @@
                              "index of the last committed entry");
   d->gauge[3] = counter_get ("pimentopost_raft_applied",
                              "index of the last applied entry");
+  d->gauge[5] = counter_get ("pimentopost_raft_voters",
+                             "voters of the membership in force");
   d->gauge[4] = counter_get ("pimentopost_configuration_version",
                              "version of the configuration in force");
 }
 
+static int
+voters (const decide_t *d)
+{
+  const members_t *m = raft_member_list (d->raft);
+  int n = 0;
+
+  for (size_t i = 0; i < m->list.n; i++)
+    n += LIST_AT (m->list, member_t, i)->voter;
+  return n;
+}
+
 void
 publish (decide_t *d)
 {
@@ -145,6 +158,7 @@
   counter_set (d->gauge[2], raft_commit (d->raft));
   counter_set (d->gauge[3], raft_applied (d->raft));
   counter_set (d->gauge[4], version);
+  counter_set (d->gauge[5], voters (d));
 }
 
 bool
--- a/cmd/pimentopostd/decide.c
+++ b/cmd/pimentopostd/decide.c
@@ -8,6 +8,7 @@
 {
   TICK = 10,     /* ms */
   REPORT = 100,  /* ms between reports of probes to the leader */
+  REVIEW = 200,  /* ms between looks at the membership */
   TARGETS = 512, /* databases probed at most */
   TURN = 256     /* messages taken before the clock is looked at again */
 };
@@ -321,6 +322,19 @@
   dblink_targets (d->link, t, n < TARGETS ? n : TARGETS);
 }
 
+static void
+review (decide_t *d)
+{
+  int64_t version = 0;
+  str_t text = control_config (d->control, &version, NULL, NULL);
+
+  join_configured (&d->join, d->pool, text, version);
+  if (d->now - d->reviewed < REVIEW)
+    return;
+  d->reviewed = d->now;
+  join_review (&d->join, d->raft, d->now);
+}
+
 static bool
 tick (decide_t *d, err_t *e)
 {
@@ -334,6 +348,7 @@
   control_tick (d->control, d->now);
   report (d);
   retarget (d);
+  review (d);
   return settle (d, e);
 }
 
--- a/cmd/pimentopostd/decide.h
+++ b/cmd/pimentopostd/decide.h
@@ -27,6 +27,7 @@
   msec_t now;
   msec_t ticked;
   msec_t reported;
+  msec_t reviewed;
   int64_t conn; /* connection of the message being received */
   int64_t targets;
 
@@ -47,7 +48,7 @@
   atomic_int_fast64_t shown_commit;
   atomic_int_fast64_t shown_version;
   atomic_bool shown_leader;
-  counter_t *gauge[5];
+  counter_t *gauge[6];
 };
 
 /* decide_answer: to the connection CONN.  */
--- a/cmd/pimentopostd/duties.h
+++ b/cmd/pimentopostd/duties.h
@@ -62,7 +62,8 @@
 enum
 {
   HELLO_EVERY = 200, /* ms between questions to the other instances */
-  HELLO_AGE = 1000   /* ms that an answer counts */
+  HELLO_AGE = 1000,  /* ms that an answer counts */
+  CONTROL_MAX = 16   /* control instances of a configuration */
 };
 
 typedef struct
@@ -82,6 +83,10 @@
   size_t n;
   str_t address; /* of this instance */
   msec_t asked;
+  /* Control instances of the configuration in force.  */
+  int64_t version;
+  char name[CONTROL_MAX][DB_NAME_MAX];
+  size_t nnames;
 } join_t;
 
 typedef void (*join_send_t) (void *arg, str_t address, msgtype_t type,
@@ -97,6 +102,14 @@
 void join_ask (join_t *j, raft_t *r, const hello_t *m, msec_t now,
                hello_resp_t *out);
 
+/* join_configured: takes over the control instances of the canonical
+   configuration TEXT, when VERSION is new.  */
+void join_configured (join_t *j, apr_pool_t *pool, str_t text,
+                      int64_t version);
+/* join_review: as leader, removes members that the configuration does not name
+   once all that it names are voters.  */
+void join_review (const join_t *j, raft_t *r, msec_t now);
+
 int control_main (const settings_t *s);
 int entry_main (const settings_t *s);
 
--- a/cmd/pimentopostd/join.c
+++ b/cmd/pimentopostd/join.c
@@ -1,5 +1,7 @@
 #include "duties.h"
 
+#include <stdio.h>
+
 void
 join_init (join_t *j, apr_pool_t *pool, const settings_t *s)
 {
@@ -15,7 +17,16 @@
 }
 
 static bool
-allowed (const join_t *j, str_t name)
+configured (const join_t *j, str_t name)
+{
+  for (size_t i = 0; i < j->nnames; i++)
+    if (str_eq (str_of (j->name[i]), name))
+      return true;
+  return false;
+}
+
+static bool
+in_settings (const join_t *j, str_t name)
 {
   for (size_t i = 0; i < j->set->npeers; i++)
     if (str_eq (j->set->peers[i].name, name))
@@ -23,6 +34,76 @@
   return false;
 }
 
+static const member_t *
+member_named (raft_t *r, str_t name)
+{
+  const members_t *m = raft_member_list (r);
+
+  for (size_t i = 0; i < m->list.n; i++)
+    if (str_eq (LIST_AT (m->list, member_t, i)->name, name))
+      return LIST_AT (m->list, member_t, i);
+  return NULL;
+}
+
+/* An instance that was removed stays in settings, so those count only without
+   a configuration or for an instance that is a member under another id.  */
+static bool
+allowed (const join_t *j, raft_t *r, str_t name)
+{
+  return configured (j, name)
+         || (in_settings (j, name)
+             && (j->nnames == 0 || member_named (r, name)));
+}
+
+void
+join_configured (join_t *j, apr_pool_t *pool, str_t text, int64_t version)
+{
+  ctl_conf_t c;
+  apr_pool_t *tmp;
+
+  if (version == j->version || apr_pool_create (&tmp, pool))
+    return;
+  j->version = version;
+  j->nnames = 0;
+  if (text.n && ctl_conf_ops.read (ctl_conf_ops.arg, tmp, text, &c, NULL))
+    for (size_t i = 0; i < c.instances.n && j->nnames < CONTROL_MAX; i++)
+      {
+        const ctl_instance_t *x = LIST_AT (c.instances, ctl_instance_t, i);
+        if (!x->entry && x->name.n < DB_NAME_MAX)
+          snprintf (j->name[j->nnames++], DB_NAME_MAX, STR_FMT,
+                    STR_ARG (x->name));
+      }
+  apr_pool_destroy (tmp);
+}
+
+void
+join_review (const join_t *j, raft_t *r, msec_t now)
+{
+  const members_t *m = raft_member_list (r);
+
+  if (!raft_leads (r) || j->nnames == 0)
+    return;
+  for (size_t i = 0; i < j->nnames; i++)
+    {
+      const member_t *x = member_named (r, str_of (j->name[i]));
+      if (x == NULL || !x->voter)
+        return;
+    }
+  for (size_t i = 0; i < m->list.n; i++)
+    {
+      member_t x = *LIST_AT (m->list, member_t, i);
+      char name[DB_NAME_MAX];
+      if (configured (j, x.name))
+        continue;
+      /* The membership, and with it the name, changes in the call.  */
+      snprintf (name, sizeof name, STR_FMT, STR_ARG (x.name));
+      if (raft_members (r, MEMBER_REMOVE, &x, now, NULL))
+        log_event (EV_RAFT_REMOVE, "instance=%s id=%lld", name,
+                   (long long)x.id);
+      return;
+    }
+}
+
 /* Whether this instance forms the first membership: of instances that all have
    empty folders, the one with the first name.  An instance that did not answer
    may hold a log, so all must have answered.  */
@@ -65,7 +146,9 @@
                 .address = j->address,
                 .join = true };
 
-  if (raft_member (r, raft_id (r)))
+  const member_t *self = raft_member (r, raft_id (r));
+
+  if (self && str_eq (self->address, j->address))
     return true;
   if (raft_last (r) == 0 && forms_first (j, now))
     return bootstrap (j, r, now, e);
@@ -104,8 +187,10 @@
                          .name = j->set->name,
                          .has_log = raft_last (r) > 0,
                          .leader = l ? l->address : (str_t){ 0 } };
+  const member_t *known = raft_member (r, m->id);
   if (!m->join || raft_role (r) != RAFT_LEADER || m->id <= 0
-      || !allowed (j, m->name) || raft_member (r, m->id))
+      || !allowed (j, r, m->name)
+      || (known && str_eq (known->address, m->address)))
     return;
   if (raft_members (r, MEMBER_ADD, &add, now, &e))
     log_event (EV_RAFT_JOIN, "instance=" STR_FMT " id=%lld", STR_ARG (m->name),
--- a/include/raft.h
+++ b/include/raft.h
@@ -124,7 +124,8 @@
 /* raft_members: one change of membership.  ERR_NOT_LEADER; ERR_FULL while
    another change is under way or the leader has not committed in its term;
    ERR_CONFLICT when the instance of that name still answers under its old id;
-   true without a change when M is already there (or already gone).  */
+   true without a change when M is already there under its
+   address (or already gone).  */
 bool raft_members (raft_t *r, member_op_t op, const member_t *m, msec_t now,
                    err_t *e);
 /* raft_bootstrap: first membership, with an empty log only (ERR_STATE).  Only
--- a/lib/raft/member.c
+++ b/lib/raft/member.c
@@ -219,6 +219,21 @@
   return NULL;
 }
 
+/* Takes over a new address of a member.  */
+static bool
+move (raft_t *r, const member_t *m)
+{
+  member_t v[PEERS_MAX + 1];
+  size_t n = copy_members (r, 0, v);
+
+  if (str_eq (raft_member (r, m->id)->address, m->address))
+    return true;
+  for (size_t i = 0; i < n; i++)
+    if (v[i].id == m->id)
+      v[i].address = m->address;
+  return change (r, v, n);
+}
+
 static bool
 add (raft_t *r, const member_t *m, err_t *e)
 {
@@ -227,7 +242,7 @@
   const member_t *learner = by_name (r, m->name, false, m->id);
 
   if (raft_member (r, m->id))
-    return true;
+    return move (r, m);
   if ((voter && answers (r, voter->id))
       || (learner && answers (r, learner->id)))
     return err_set (e, ERR_CONFLICT, "members",
--- a/test/control_process.sh
+++ b/test/control_process.sh
@@ -3,7 +3,8 @@
 # the cell for a second, a restart behind 1,000 changes that takes a second or
 # comes back to an older version, a lost disk that keeps its vote or stays
 # outside, a second loss right after that repair, a stopped leader that still
-# believes it leads when it wakes, and a start over damaged files.
+# believes it leads when it wakes, a change of the control instances that never
+# ends, malformed messages, and a start over damaged files.
 set -u
 B=$1
 . test/cluster.inc
@@ -88,6 +89,41 @@
 kill -CONT "$p"
 until_true 5 health_is "$l" "role=follower leader=known .*version=$V$" || fail "the stopped leader did not follow: $(health "$l")"
 
+# Two more control instances by the questionnaire, then back to three. A name
+# that the configuration does not have stays outside.
+cp "$Q" "$W/three.yaml"
+i=$(grep -n '^# What requests are worth' "$Q" | cut -d: -f1)
+{
+  head -n $((i - 2)) "$W/three.yaml"
+  for n in 4 5; do
+    printf '  - name: tan-control-%s\n    role: control\n' $n
+    printf '    availability_zone: %s\n' "$(zone $((n - 3)))"
+    printf '    address: 127.0.0.1:2005%s\n    health: 127.0.0.1:2015%s\n' $n $n
+  done
+  tail -n +$((i - 1)) "$W/three.yaml"
+} >"$Q"
+"$T" generate --settings "$W" --data "$W" "$Q" >/dev/null || fail "generate for five"
+start 4
+until_true 5 health_is 4 "member=none" || fail "instance 4 does not run"
+change
+start 5
+for n in 4 5; do until_true 10 health_is $n "leader=known member=voter .*version=$V$" || fail "instance $n is no voter: $(health $n)"; done
+cp "$W/three.yaml" "$Q"
+change
+voters () { curl -s "http://127.0.0.1:2015$(leader)/metrics" | sed -n 's/^pimentopost_raft_voters //p'; }
+three () { [ "$(voters)" = 3 ]; }
+until_true 10 three || fail "$(voters) voters after the change back"
+halt 4
+halt 5
+change
+l=$(leader)
+
+# A message that is none ends its connection only.
+printf '\000\000\000\003abc' | curl -s --max-time 2 "telnet://127.0.0.1:2005$l" >/dev/null
+until_true 2 grep -q FRAME_REFUSED "$W/tan-control-$l.log" || fail "no refusal of a malformed message"
+curl -s --max-time 2 "http://127.0.0.1:2005$l/" >/dev/null && fail "an oversized frame was answered"
+change
+
 # A planned stop ends with 0; damaged files end with 7 and the file's name.
 p=$(cat "$W/tan-control-$l.pid")
 kill -TERM "$p"
