--- a/Makefile
+++ b/Makefile
@@ -90,7 +90,7 @@
 	  echo "$$n: $$(grep -E 'number_of_executed_units|stat::operations' $(FB)/$$n.log | tr '\n' ' ')"; done
 
 fmt:
-	clang-format --dry-run -Werror $(CSRC)
+	@clang-format --dry-run -Werror $(CSRC)
 
 format:
 	clang-format -i $(CSRC)
