--- a/lib/entry/finish.c
+++ b/lib/entry/finish.c
@@ -231,7 +231,7 @@
     }
   buf_adds (&s->out, buf_str (&held));
   buf_free (&held);
-  counter_add (s->w->stats.refused, 1);
+  counter_add (s->w->stats.passed, 1);
   if (r->flush)
     s->skip = true;
   request_end (r, s->block);
--- a/lib/entry/loop.c
+++ b/lib/entry/loop.c
@@ -1,6 +1,7 @@
 #include "worker.h"
 
 #include <errno.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
 #include <time.h>
@@ -37,6 +38,22 @@
   io->events = events;
 }
 
+static counter_t *
+refusal_counter (pgrefusal_t r)
+{
+  static const char *const names[] = {
+#define X(name, code, run, text) #name,
+    PG_REFUSALS (X)
+#undef X
+  };
+  char name[120];
+
+  snprintf (name, sizeof name,
+            "pimentopost_refused_total{reason=\"%s\",sqlstate=\"%s\"}",
+            names[r] + 3, pg_refusal_code (r));
+  return counter_get (name, "requests refused");
+}
+
 static void
 stats_init (stats_t *s)
 {
@@ -46,9 +63,10 @@
   s->primary_reads = counter_get (
       "pimentopost_reads_total{database=\"primary\"}", "reads answered");
   s->writes = counter_get ("pimentopost_writes_total", "commits confirmed");
-  s->refused = counter_get ("pimentopost_refused_total", "requests not run");
-  s->unknown
-      = counter_get ("pimentopost_unknown_total", "requests answered 40003");
+  for (int i = 0; i < PG_NREFUSALS; i++)
+    s->refusal[i] = refusal_counter ((pgrefusal_t)i);
+  s->passed = counter_get ("pimentopost_refused_total{reason=\"database\"}",
+                           "requests refused");
   s->retries = counter_get ("pimentopost_retries_total", "requests repeated");
   s->unproven = counter_get ("pimentopost_unproven_total",
                              "reads that a database did not prove");
--- a/lib/entry/request.c
+++ b/lib/entry/request.c
@@ -113,9 +113,7 @@
 {
   session_t *s = r->s;
 
-  counter_add (pg_refusal_run (why) == PG_UNKNOWN ? s->w->stats.unknown
-                                                  : s->w->stats.refused,
-               1);
+  counter_add (s->w->stats.refusal[why], 1);
   pg_put_refusal (&s->out, why, false, detail);
   if (r->flush)
     s->skip = true;
--- a/lib/entry/worker.h
+++ b/lib/entry/worker.h
@@ -266,8 +266,8 @@
   counter_t *replica_reads;
   counter_t *primary_reads;
   counter_t *writes;
-  counter_t *refused;
-  counter_t *unknown;
+  counter_t *refusal[PG_NREFUSALS];
+  counter_t *passed; /* errors of a database that say "not run" */
   counter_t *retries;
   counter_t *unproven;
   counter_t *barriers;
