--- a/bench/bench_proxy.c
+++ b/bench/bench_proxy.c
@@ -189,8 +189,10 @@
   nsamples = 0;
   r.rate = drive (c, n, sql, ep);
   qsort (sample, nsamples, sizeof *sample, by_value);
-  r.p50 = (double)sample[nsamples / 2] / 1000;
-  r.p99 = (double)sample[nsamples * 99 / 100] / 1000;
+  size_t mid = nsamples / 2;
+  size_t high = nsamples * 99 / 100;
+  r.p50 = (double)sample[mid] / 1000;
+  r.p99 = (double)sample[high] / 1000;
   return r;
 }
 
@@ -210,6 +212,16 @@
   return v[n / 2];
 }
 
+static int
+number (const char *text)
+{
+  int64_t v;
+
+  if (!str_int (str_of (text), &v) || v < 1 || v > 1000000)
+    die ("a number is expected");
+  return (int)v;
+}
+
 static int
 split (char *text, str_t *out, int max)
 {
@@ -228,8 +240,8 @@
   str_t direct[8];
   str_t entry = str_of (a[1]);
   int nd = split (a[0], direct, 8);
-  int n = atoi (a[3]);
-  int rounds = atoi (a[4]);
+  int n = number (a[3]);
+  int rounds = number (a[4]);
   int ep[2] = { epoll_create1 (0), epoll_create1 (0) };
   client_t *c[2];
   double *v[5];
@@ -283,11 +295,13 @@
 static void
 memory (char **a)
 {
-  int n = atoi (a[3]);
+  int n = number (a[3]);
   str_t entry = str_of (a[0]);
-  client_t *c = calloc ((size_t)n, sizeof *c);
+  static client_t c[10000];
   int ep = epoll_create1 (0);
 
+  if (n > (int)(sizeof c / sizeof *c))
+    die ("too many connections");
   long before = resident_kb (a[1]);
   all_ready (c, n, &entry, 1, str_of (a[2]), ep);
   msec_sleep (1000);
--- a/cmd/ppload/load.h
+++ b/cmd/ppload/load.h
@@ -178,6 +178,7 @@
   str_t plot;
   str_t title;
 
+  unsigned run; /* names the rows and keys of this run */
   msec_t start;
   msec_t now;
   msec_t next_arrival;
--- a/cmd/ppload/main.c
+++ b/cmd/ppload/main.c
@@ -230,11 +230,27 @@
   return NULL;
 }
 
+/* drop_late: a request that found no session before its deadline is not sent
+   any more.  */
+static void
+drop_late (load_t *l)
+{
+  while (l->qhead < l->nqueue)
+    {
+      arrival_t a = l->queue[l->qhead];
+      if (l->now <= a.at + l->cfg->kinds[a.kind].deadline)
+        return;
+      l->stat[a.kind].late++;
+      l->qhead++;
+    }
+}
+
 static void
 assign (load_t *l)
 {
   session_t *s;
 
+  drop_late (l);
   while (l->qhead < l->nqueue && (s = idle_session (l)) != NULL)
     {
       arrival_t a = l->queue[l->qhead++];
@@ -354,6 +370,7 @@
   signal (SIGPIPE, SIG_IGN);
   set_mix (l);
   l->start = l->now = l->next_arrival = msec_now ();
+  l->run = (unsigned)(msec_wall () & 0xffffffff);
   make_sessions (l);
   pthread_create (&l->poller, NULL, dbs_poll, l);
   run (l);
--- a/cmd/ppload/work.c
+++ b/cmd/ppload/work.c
@@ -55,22 +55,19 @@
 
   if (r->op == OP_INSERT)
     {
-      snprintf (s->row, sizeof s->row, "s%d-%d.%llu", s->n, s->rows++,
-                (unsigned long long)l->rng.seed);
+      snprintf (s->row, sizeof s->row, "s%d-%d.%x", s->n, s->rows++, l->run);
       s->ntags = s->used = 0;
       s->live = false;
     }
   if (r->op == OP_BLOCK)
-    snprintf (id, sizeof id, "b%d-%d.%llu.", s->n, s->rows++,
-              (unsigned long long)l->rng.seed);
+    snprintf (id, sizeof id, "b%d-%d.%x.", s->n, s->rows++, l->run);
   else
     snprintf (id, sizeof id, "%s", s->row);
   s->used++;
   r->write = ledger_add (l, s->group, id, r->op == OP_BLOCK);
   r->rollback = r->op == OP_BLOCK && rng_below (&l->rng, 4) == 0;
   if (r->op != OP_BLOCK && kind_of (l, s)->key)
-    snprintf (r->key, sizeof r->key, "%llx-%lld",
-              (unsigned long long)l->rng.seed, (long long)r->write);
+    snprintf (r->key, sizeof r->key, "%x-%lld", l->run, (long long)r->write);
 }
 
 void
