Give a newly configured instance its budgets with the first grant

The fuzzer, now with instances that join and leave by configuration and with brief renewals, found two ways above the connection limit: an instance put back into the configuration used older budgets or a floor before there was room, because its first grant was brief; and floors were given back on a renewal that did not prove that the instance knew of its removal.

--- a/lib/control/budget.c
+++ b/lib/control/budget.c
@@ -134,7 +134,7 @@
     return false;
   if (t->added && now - t->added < CTL_BUDGET_WAIT)
     *limit = 0;
-  else if (r->raft_term == c->raft_term)
+  else if (r->raft_term == c->raft_term && !r->brief)
     *limit = h->open > FLOOR ? h->open : FLOOR;
   else
     *limit = -1;
--- a/lib/control/ctl.c
+++ b/lib/control/ctl.c
@@ -11,8 +11,6 @@
   state_clear (c);
   act_clear (c);
   free (c->pending);
-  free (c->outcomes);
-  free (c->audits);
   return APR_SUCCESS;
 }
 
@@ -35,10 +33,6 @@
                         .outcome = outcome_find,
                         .state = mem_state };
   c->quorum_at = INT64_MIN / 2;
-  c->outcomes = calloc (CTL_OUTCOMES, sizeof *c->outcomes);
-  c->audits = calloc (CTL_AUDIT, sizeof *c->audits);
-  if (!c->outcomes || !c->audits)
-    abort ();
   apr_pool_pre_cleanup_register (pool, c, cleanup);
   return c;
 }
--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -224,11 +224,11 @@
   int64_t boot;
   msec_t seen;
   msec_t removed_at;
-  bool told_unknown;
   bool stopping;
   int64_t cfg_index; /* of the configuration that it has in force */
   msec_t added;      /* when the configuration first named it; 0 unknown */
   msec_t proposed;
+  bool filled;     /* has had a full grant since it or this leader started */
   uint64_t digest; /* of the databases and terms in the last grant */
 } ent_t;
 
@@ -256,7 +256,7 @@
   bool (*further) (const mem_t *a, const mem_t *b);
   int64_t (*others) (const control_t *c, const mem_t *m, int slot, msec_t now);
   bool (*base_holds) (const control_t *c, const rec_t *r);
-  outcome_t *(*outcome) (const control_t *c, str_t id);
+  const outcome_t *(*outcome) (const control_t *c, str_t id);
   int64_t (*state) (const mem_t *m);
 } rules_t;
 
@@ -275,9 +275,9 @@
   int64_t cfg_version, cfg_term, cfg_index;
   name_t cfg_by;
   int64_t applied, applied_term;
-  outcome_t *outcomes;
+  outcome_t outcomes[CTL_OUTCOMES];
   int noutcomes, outcome_at;
-  audit_t *audits;
+  audit_t audits[CTL_AUDIT];
   int naudits, audit_at;
   mem_t *mem[MAX_DBS];
   int nmem;
@@ -320,7 +320,7 @@
 void ent_free (control_t *c, int slot);
 const ctl_group_t *conf_group (const control_t *c, str_t name);
 const ctl_instance_t *conf_instance (const control_t *c, str_t name);
-outcome_t *outcome_find (const control_t *c, str_t id);
+const outcome_t *outcome_find (const control_t *c, str_t id);
 void outcome_add (control_t *c, const outcome_t *o);
 void audit_add (control_t *c, int64_t raft_term, int64_t index,
                 const rec_t *r);
--- a/lib/control/entry.c
+++ b/lib/control/entry.c
@@ -17,8 +17,8 @@
 }
 
 /* An instance that was taken out of the configuration gives its floors back
-   once it says that it holds nothing, in a renewal that it sent after it was
-   told.  */
+   once it says that it holds nothing and has the configuration in force, so
+   that it knows it may not open another connection.  */
 static void
 release_removed (control_t *c, ent_t *t, const renew_t *r, msec_t now)
 {
@@ -26,10 +26,8 @@
 
   for (size_t i = 0; i < r->uses.n; i++)
     open += LIST_AT (r->uses, use_t, i)->open;
-  if (t->told_unknown && open == 0 && !r->brief
-      && r->raft_term == c->raft_term)
+  if (open == 0 && !r->brief && r->cfg_index >= c->cfg_index)
     propose (c, t, 2, "removed from the configuration, holds nothing", now);
-  t->told_unknown = true;
 }
 
 ent_t *
@@ -53,6 +51,8 @@
                    "two instances with one name", now);
       return NULL;
     }
+  if (t->boot != r->boot)
+    t->filled = false;
   t->boot = r->boot;
   t->seen = now;
   t->stopping = r->stopping;
--- a/lib/control/member.c
+++ b/lib/control/member.c
@@ -148,7 +148,7 @@
       {
         c->ent[i]->seen = now;
         c->ent[i]->boot = c->ent[i]->proposed = 0;
-        c->ent[i]->told_unknown = c->ent[i]->stopping = false;
+        c->ent[i]->stopping = c->ent[i]->filled = false;
       }
 }
 
--- a/lib/control/renew.c
+++ b/lib/control/renew.c
@@ -122,7 +122,9 @@
 }
 
 /* Leaves out what the instance has.  A grant is lost only together with its
-   connection, and the first renewal over a new one is not brief.  */
+   connection, and the first renewal over a new one is not brief.  An instance
+   that was just put into the configuration has nothing yet: without budgets it
+   would use its floors before there is room for them, or older budgets.  */
 static void
 shorten (ent_t *t, const renew_t *r, grant_t *g)
 {
@@ -130,7 +132,7 @@
   bool same = hash == t->digest;
 
   t->digest = hash;
-  if (!r->brief || !same)
+  if (!r->brief || !same || !t->filled)
     return;
   g->brief = true;
   g->dbs = g->budgets = (list_t){ 0 };
@@ -170,7 +172,9 @@
   if (!quorum)
     return;
   fill_leases (c, now, pool, out);
-  shorten (c->ent[slot], r, out);
-  if (!r->brief)
+  ent_t *t = c->ent[slot];
+  shorten (t, r, out);
+  if (!r->brief || !t->filled)
     fill_budgets (c, r, slot, now, pool, out);
+  t->filled = true;
 }
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -122,7 +122,7 @@
   return NULL;
 }
 
-outcome_t *
+const outcome_t *
 outcome_find (const control_t *c, str_t id)
 {
   for (int i = 0; i < c->noutcomes; i++)
@@ -134,11 +134,11 @@
 void
 outcome_add (control_t *c, const outcome_t *o)
 {
-  outcome_t *old = outcome_find (c, str_of (o->id));
+  const outcome_t *old = outcome_find (c, str_of (o->id));
 
   if (old)
     {
-      *old = *o;
+      c->outcomes[old - c->outcomes] = *o;
       return;
     }
   c->outcomes[c->outcome_at] = *o;
@@ -186,7 +186,7 @@
       bool known = ent_find (c, x->name, NULL) != NULL;
       ent_t *t = x->entry ? ent_add (c, x->name) : NULL;
       if (t)
-        t->removed = t->told_unknown = false;
+        t->removed = t->filled = false;
       if (t && !known)
         t->added = now;
     }
@@ -242,8 +242,8 @@
     }
   for (int i = 0; i < CTL_AUDIT; i++)
     free (c->audits[i].p);
-  memset (c->audits, 0, CTL_AUDIT * sizeof *c->audits);
-  memset (c->outcomes, 0, CTL_OUTCOMES * sizeof *c->outcomes);
+  memset (c->audits, 0, sizeof c->audits);
+  memset (c->outcomes, 0, sizeof c->outcomes);
   if (c->conf_pool)
     apr_pool_destroy (c->conf_pool);
   c->conf_pool = NULL;
--- a/test/oracle.h
+++ b/test/oracle.h
@@ -70,6 +70,7 @@
   {
     char id[16];
     int64_t base, status, version;
+    const char *text;
     int ticket;
     bool done;
   } submit[64];
--- a/test/world.h
+++ b/test/world.h
@@ -68,6 +68,7 @@
   view_t *view;
   apr_pool_t *pool;
   bool alive, frozen;
+  bool unknown; /* told that the configuration does not name it */
   int zone;
   int64_t boot, seq, raft_term;
   int64_t cfg_term, cfg_index, cfg_version;
