Bound the weight of a held-up answer in the learned service time

After a freeze the few answers that it held up made the learned time so long that requests with short deadlines were refused for up to 0.3 s. A latency now counts at most as three times the mean.

--- a/lib/admit/limit.c
+++ b/lib/admit/limit.c
@@ -22,6 +22,9 @@
    good is learned.  */
 static const double rise = 1.001;
 static const double service_weight = 0.1;
+/* A latency counts at most as this many times the mean, so that the few
+   answers held up by a freeze do not pass for the time of all later ones.  */
+static const double outlier = 3;
 
 void
 limit_init (limit_t *l, int cap)
@@ -108,7 +111,7 @@
       l->service = latency;
       return;
     }
-  double off = latency - l->service;
+  double off = fmin (latency, outlier * l->service) - l->service;
   l->service += service_weight * off;
   l->spread += service_weight * (fabs (off) - l->spread);
 }
