--- a/test/test_admit.c
+++ b/test/test_admit.c
@@ -133,6 +133,24 @@
 }
 END_TEST
 
+/* Guards against the few answers that a freeze held up making later requests
+   look hopeless.  */
+START_TEST (held_up_answers)
+{
+  admit_t *a = make (10, 4);
+
+  for (int i = 0; i < 50; i++)
+    serve (a, 5, 0);
+  for (int i = 0; i < 3; i++)
+    serve (a, 1000, 0);
+  ck_assert_double_lt (admit_state (a).service, 10);
+  ck_assert (admit_offer (a, 1, 1, 50, 0, NULL));
+  expect (a, 0, ADMIT_START, 1);
+  ck_assert (admit_offer (a, 2, 1, 50, 0, NULL));
+  expect (a, 0, ADMIT_START, 2);
+}
+END_TEST
+
 /* A database with SLOTS slots and a service time of SERVICE ms: keeps as many
    requests running as the limit allows, for N answers.  */
 static void
@@ -277,6 +295,7 @@
   tcase_add_test (t, full_queue);
   tcase_add_test (t, deadlines);
   tcase_add_test (t, stall_is_unlearned);
+  tcase_add_test (t, held_up_answers);
   tcase_add_test (t, limit_follows_slots);
   tcase_add_test (t, restart_and_cuts);
   tcase_add_test (t, cap);
