--- a/Makefile
+++ b/Makefile
@@ -90,6 +90,13 @@
 	    2>$(FB)/$$n.log || { tail -30 $(FB)/$$n.log; exit 1; }; \
 	  echo "$$n: $$(grep -E 'number_of_executed_units|stat::operations' $(FB)/$$n.log | tr '\n' ' ')"; done
 
+# Line coverage of the decision modules by the test programs (not the scripts).
+DECISIONS = lib/raft lib/control lib/route lib/admit lib/sql lib/entry/xchg.c lib/entry/pool.c lib/entry/plan.c
+coverage:
+	@$(MAKE) --no-print-directory B=build/cov OPT="-O1 -g --coverage" EXTRA_LDFLAGS=--coverage tests >/dev/null
+	@for t in $(notdir $(TESTSRC:.c=)); do build/cov/test/$$t >/dev/null 2>&1 || echo "$$t failed"; done
+	@gcovr -r . --object-directory build/cov $(addprefix -f ,$(DECISIONS)) --exclude test -s 2>/dev/null
+
 fmt:
 	@clang-format --dry-run -Werror $(CSRC)
 
@@ -113,5 +120,6 @@
 -include $(LIBOBJ:.o=.d) $(wildcard $(B)/cmd/*/*.d $(B)/test/*.d $(B)/bench/*.d)
 -include */rules.mk
 
-.PHONY: all deps tests check fmt format lint clean install demo bench fuzz
+
+.PHONY: coverage all deps tests check fmt format lint clean install demo bench fuzz
 .SECONDARY:
