--- a/cmd/pimentopostd/decide.c
+++ b/cmd/pimentopostd/decide.c
@@ -335,9 +335,17 @@
   join_review (&d->join, d->raft, d->now);
 }
 
+static bool
+behind (const decide_t *d)
+{
+  return raft_applied (d->raft) < raft_commit (d->raft);
+}
+
 static bool
 tick (decide_t *d, err_t *e)
 {
+  if (behind (d) && !(raft_tick (d->raft, d->now, e) && settle (d, e)))
+    return false;
   if (d->now - d->ticked < TICK)
     return true;
   d->ticked = d->now;
@@ -358,7 +366,7 @@
   struct pollfd p[2] = { { .fd = ring_fd (d->in), .events = POLLIN },
                          { .fd = ring_fd (d->links), .events = POLLIN } };
 
-  poll (p, 2, TICK);
+  poll (p, 2, behind (d) ? 0 : TICK);
   /* Answers that wait are taken before time is seen to have gone by, so that
      a pause of this process is not taken for silence of the others.  */
   d->now = msec_now ();
--- a/include/raft.h
+++ b/include/raft.h
@@ -106,7 +106,9 @@
 /* raft_recv: a message of consensus (MSG_VOTE_REQ .. MSG_SNAP_RESP) came.  */
 bool raft_recv (raft_t *r, msgtype_t type, const void *msg, msec_t now,
                 err_t *e);
-/* raft_tick: time went by; call it every 10 ms or so.  */
+/* raft_tick: time went by; call it every 10 ms or so, and at once again while
+   raft_applied is behind raft_commit: an event applies only some entries, so
+   that a long log keeps no heartbeat waiting.  */
 bool raft_tick (raft_t *r, msec_t now, err_t *e);
 /* raft_propose: appends a record.  INDEX (may be NULL) is where it stands; it
    is committed when apply gets an entry with this index and the present term.
--- a/lib/raft/append.c
+++ b/lib/raft/append.c
@@ -238,7 +238,7 @@
   if (r->applying)
     return !r->stopped;
   r->applying = true;
-  while (r->applied < r->commit && !r->stopped)
+  for (int i = 0; i < APPLY_MAX && r->applied < r->commit && !r->stopped; i++)
     {
       /* Apply may propose, which can move the array but not the data.  */
       log_entry_t v = *log_at (r, r->applied + 1);
--- a/lib/raft/local.h
+++ b/lib/raft/local.h
@@ -9,6 +9,8 @@
 {
   PEERS_MAX = 16,
   WINDOW = 512,      /* entries sent ahead of the last answer */
+  APPLY_MAX = 16,    /* entries applied in one event: applying can be slow,
+                        and must not keep heartbeats waiting */
   CHUNK_RETRY = 200, /* ms until a snapshot chunk is sent again */
   DEFAULT_COMPACT = 256,
   DEFAULT_TRAIL = 128
@@ -124,6 +126,8 @@
 bool recv_append_resp (raft_t *r, const append_resp_t *m);
 /* advance: moves the leader's commit index, applies what is committed.  */
 bool advance (raft_t *r);
+/* apply_committed: applies at most APPLY_MAX entries; each event and tick goes
+   on with the rest.  */
 bool apply_committed (raft_t *r);
 
 /* snap.c */
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -197,6 +197,8 @@
 {
   if (!enter (r, now))
     return finish (r, e);
+  if (r->applied < r->commit && !apply_committed (r))
+    return finish (r, e);
   if (r->role == RAFT_LEADER)
     tick_leader (r);
   else if (r->now >= r->deadline)
--- a/test/test_raft.c
+++ b/test/test_raft.c
@@ -500,6 +500,27 @@
 }
 END_TEST
 
+/* Guards against a long log that is applied in one event, which would keep
+   heartbeats waiting and depose the leader.  */
+START_TEST (applies_in_parts)
+{
+  raft_t *r = solo_new ();
+  append_resp_t a = { .term = 4, .from = 2, .seq = 2000, .ok = true };
+
+  solo_lead (r);
+  for (int i = 0; i < 100; i++)
+    ck_assert (raft_propose (r, STR ("x"), 2000, NULL, NULL));
+  a.match = raft_last (r);
+  ck_assert (raft_recv (r, MSG_APPEND_RESP, &a, 2000, NULL));
+  ck_assert_int_eq (raft_commit (r), 103);
+  ck_assert_int_lt (solo.applied, 40);
+  for (int i = 0; i < 10; i++)
+    ck_assert (raft_tick (r, 2000, NULL));
+  ck_assert_int_eq (solo.applied, 103);
+  apr_pool_destroy (pool);
+}
+END_TEST
+
 /* Guards against answers that leave before what they promise is stored, and
    against going on after the store failed.  */
 START_TEST (store_before_answer)
@@ -576,6 +597,7 @@
   tcase_add_test (o, old_term_is_not_counted);
   tcase_add_test (o, hint_before_match);
   tcase_add_test (o, quorum_at_is_the_time_of_sending);
+  tcase_add_test (o, applies_in_parts);
   tcase_add_test (o, store_before_answer);
   tcase_add_test (o, committed_entries_stay);
   suite_add_tcase (s, c);
