--- a/lib/entry/timer.c
+++ b/lib/entry/timer.c
@@ -50,6 +50,19 @@
     probe (r);
 }
 
+/* Whoever waits for a database that does not answer, or that is leaving, goes
+   elsewhere instead of waiting there until the deadline.  */
+static void
+check_waiting (req_t *r)
+{
+  const db_t *d = r->route.db;
+
+  if (r->w->now >= d->avoid && r->db->usable)
+    return;
+  request_leave (r);
+  request_route (r);
+}
+
 static void
 check_request (req_t *r)
 {
@@ -70,6 +83,8 @@
     request_expire (r);
   else if (r->state == R_LATER && w->now >= r->wake)
     request_route (r);
+  else if (r->state == R_ADMIT || r->state == R_CONN)
+    check_waiting (r);
   else if (r->state == R_RUN)
     check_running (r);
 }
