--- a/test/control_process.sh
+++ b/test/control_process.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# A control cell of separate processes. Guards against a leader whose loss stops
+# A control cell of separate processes. Guards against a first membership formed
+# without asking every instance, a leader whose loss stops
 # the cell for a second, a restart behind 1,000 changes that takes a second or
 # comes back to an older version, a lost disk that keeps its vote or stays
 # outside, a second loss right after that repair, a stopped leader that still
@@ -41,7 +42,12 @@
 }
 identity () { sed -n 's/.*RAFT_IDENTITY id=\([0-9]*\).*/\1/p' "$W/tan-control-$1.log" | tail -1; }
 
-for n in 1 2 3; do start $n; done
+# Two instances with empty folders wait for the third, which may hold a log.
+for n in 1 2; do start $n; done
+for n in 1 2; do until_true 3 health_is $n "leader=unknown member=none" || fail "instance $n does not wait"; done
+sleep 1
+for n in 1 2; do health_is $n "leader=unknown member=none" || fail "instance $n did not wait for all"; done
+start 3
 within 3000 has_leader
 echo "first leader after $TOOK ms"
 V=0
