--- a/test/test_raft_one.c
+++ b/test/test_raft_one.c
@@ -227,6 +227,29 @@
 }
 END_TEST
 
+/* Guards against a voter that moved to another address being added anew or
+   losing its vote.  */
+START_TEST (new_address)
+{
+  raft_t *r = solo_new ();
+  append_resp_t a
+      = { .term = 4, .from = 2, .seq = 2000, .ok = true, .match = 3 };
+  member_t m = { .id = 2, .name = STR ("b"), .address = STR ("22") };
+  err_t e = { 0 };
+
+  solo_lead (r);
+  ck_assert (!raft_members (r, MEMBER_ADD, &m, 2000, &e));
+  ck_assert_int_eq (e.code, ERR_FULL);
+  ck_assert (raft_recv (r, MSG_APPEND_RESP, &a, 2000, NULL));
+  ck_assert (raft_members (r, MEMBER_ADD, &m, 2000, &e));
+  ck_assert_int_eq (raft_last (r), 4);
+  ck_assert (str_eq (raft_member (r, 2)->address, STR ("22")));
+  ck_assert (raft_member (r, 2)->voter);
+  ck_assert_uint_eq (raft_member_list (r)->list.n, 3);
+  apr_pool_destroy (pool);
+}
+END_TEST
+
 /* Guards against answers that leave before what they promise is stored, and
    against going on after the store failed.  */
 START_TEST (store_before_answer)
@@ -291,6 +314,7 @@
   tcase_add_test (o, hint_before_match);
   tcase_add_test (o, quorum_at_is_the_time_of_sending);
   tcase_add_test (o, applies_in_parts);
+  tcase_add_test (o, new_address);
   tcase_add_test (o, store_before_answer);
   tcase_add_test (o, committed_entries_stay);
   suite_add_tcase (s, o);
