--- a/cmd/pimentopost/main.c
+++ b/cmd/pimentopost/main.c
@@ -7,7 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-const char *argp_program_version = "pimentopost 0.1";
+const char *argp_program_version = "pimentopost " PP_VERSION;
 
 static error_t
 parse_command (int key, char *arg, struct argp_state *state)
--- a/cmd/pimentopostd/main.c
+++ b/cmd/pimentopostd/main.c
@@ -11,6 +11,8 @@
   const char *role;
 } args_t;
 
+const char *argp_program_version = "pimentopostd " PP_VERSION;
+
 static error_t
 parse (int key, char *arg, struct argp_state *state)
 {
--- a/cmd/ppdbsim/main.c
+++ b/cmd/ppdbsim/main.c
@@ -8,6 +8,8 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
+const char *argp_program_version = "ppdbsim " PP_VERSION;
+
 static sim_t sim;
 
 static const char doc[]
--- a/cmd/ppload/main.c
+++ b/cmd/ppload/main.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+const char *argp_program_version = "ppload " PP_VERSION;
+
 static load_t load;
 
 static const char doc[]
--- a/include/base.h
+++ b/include/base.h
@@ -10,6 +10,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Version of all programs, printed by --version.  */
+#define PP_VERSION "0.1"
+
 /* ---- strings ---- */
 
 /* A length-counted byte string.  P need not end in NUL unless it came
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -178,6 +178,33 @@
 }
 END_TEST
 
+/* Guards against a replica that lags being asked before one that does not, and
+   against a failing one being asked again at once.  */
+START_TEST (learned_lag_decides)
+{
+  ask_t a = ask (false);
+
+  grant (1000, 1001, 1, 1, "a", "1:0");
+  for (int i = 0; i < 100; i++)
+    {
+      msec_t t = 1010 + i * 10;
+      view_sample (view, STR ("g"), 1, 100 + i, t);
+      view_applied (view, STR ("b"), 1, i < 25 ? 0 : 75 + i, t, t + 1);
+      view_applied (view, STR ("c"), 1, 100 + i, t, t + 1);
+    }
+  ck_assert (view_db (view, STR ("b"))->lag > 100);
+  ck_assert (view_db (view, STR ("c"))->lag < 20);
+  a.token = (token_t){ 1, 199 };
+  grant (2000, 2001, 1, 1, "a", "1:0");
+  for (int i = 0; i < 20; i++)
+    ck_assert (str_eq (route_pick (view, &a, 2002).db->name, STR ("c")));
+  view_failed (view, STR ("c"), 2002);
+  ck_assert_int_eq (route_pick (view, &a, 2003).kind, ROUTE_PRIMARY);
+  view_ok (view, STR ("c"), 2, 2004);
+  ck_assert (str_eq (route_pick (view, &a, 2004).db->name, STR ("c")));
+}
+END_TEST
+
 static const struct
 {
   const char *history;
@@ -237,6 +264,7 @@
   tcase_add_test (t, budget_falls_to_the_floor);
   tcase_add_loop_test (t, coverage_across_terms, 0,
                        sizeof coverage / sizeof *coverage);
+  tcase_add_test (t, learned_lag_decides);
   tcase_add_test (t, bad_tokens);
   suite_add_tcase (s, t);
   srunner_run_all (r, CK_NORMAL);
