--- a/Makefile
+++ b/Makefile
@@ -114,6 +114,10 @@
 	install -m 755 $(B)/bin/pimentopostd $(B)/bin/pimentopost $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIBA) $(DESTDIR)$(PREFIX)/lib
 	install -m 644 include/*.h $(DESTDIR)$(PREFIX)/include/pimentopost
+	@# The installed events.h has no lib/ beside it: its parts are copied in.
+	awk '/^#include "\.\.\// { f = $$2; gsub (/"/, "", f); sub (/^\.\.\//, "", f); \
+	  while ((getline l < f) > 0) print l; close (f); next } { print }' include/events.h \
+	  > $(DESTDIR)$(PREFIX)/include/pimentopost/events.h
 	for m in man/*.[1-8]; do \
 	  d=$(DESTDIR)$(PREFIX)/share/man/man$${m##*.}; install -d $$d; install -m 644 $$m $$d; done
 
