--- a/lib/control/apply.c
+++ b/lib/control/apply.c
@@ -95,6 +95,7 @@
   if (r->state & M_REMOVED)
     {
       m->bits = M_REMOVED;
+      m->removed_at = now;
       m->group[0] = '\0';
       return;
     }
--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -169,6 +169,7 @@
   msec_t stale_since; /* for the proof of having caught up */
   int64_t need_pos;   /* -1: not sampled yet */
   msec_t gone_since;  /* unreachable since; 0: reachable */
+  msec_t removed_at;  /* left the group; 0: not since this process started */
 
   /* Failover.  */
   bool fenced;
--- a/lib/control/member.c
+++ b/lib/control/member.c
@@ -115,6 +115,8 @@
     return;
   if (why)
     refuse_note (c, a->group, a->name, a->address, why, now);
+  else if (m && m->removed_at && now - m->removed_at < CTL_BUDGET_WAIT)
+    return; /* budgets from before its removal may still be in use */
   else if (!m || (m->bits & M_REMOVED))
     join (c, a, "announced itself", a->leaving ? M_LEAVING : 0, now);
   else if (!str_eq (str_of (m->address), a->address))
--- a/lib/control/snap.c
+++ b/lib/control/snap.c
@@ -148,7 +148,7 @@
   name_set (m->zone, r->zone);
   m->bits = r->state;
   m->follow_term = r->term;
-  m->announced = m->gone_since = m->stale_since = now;
+  m->announced = m->gone_since = m->stale_since = m->removed_at = now;
 }
 
 static void
