Put on record which entry instances have been given their floors

Change: the first grant of floors is a record; without it a new leader grants nothing to that instance until the old budgets ran out.

--- a/lib/control/apply.c
+++ b/lib/control/apply.c
@@ -124,6 +124,11 @@
   if (!t)
     return;
   t->proposed = 0;
+  if (r->state == 3)
+    {
+      t->floored = true;
+      return;
+    }
   t->up = r->state == 1;
   if (r->state == 2 && t->removed)
     {
--- a/lib/control/budget.c
+++ b/lib/control/budget.c
@@ -125,14 +125,15 @@
 /* A new leader does not know what its predecessor granted.  Until those grants
    have run out it only confirms what an instance has open, in renewals sent
    after the change (they carry the new raft term).  What was open then was
-   within the predecessor's grants and still counts there.  */
+   within the predecessor's grants and still counts there.  An instance that is
+   not on record with its floors has to wait until there is room for them.  */
 static bool
 inherited (const control_t *c, const hold_t *h, const ent_t *t,
            const renew_t *r, msec_t now, int64_t *limit)
 {
   if (now - c->role_at >= CTL_BUDGET_WAIT)
     return false;
-  if (t->added && now - t->added < CTL_BUDGET_WAIT)
+  if (!t->floored)
     *limit = 0;
   else if (r->raft_term == c->raft_term && !r->brief)
     *limit = h->open > FLOOR ? h->open : FLOOR;
@@ -156,6 +157,8 @@
       limit = share (c, m, slot, now);
       limit = limit < room ? limit : room;
       limit = limit > 0 ? limit : 0;
+      if (limit >= FLOOR)
+        entry_floored (c, c->ent[slot], now);
     }
   if (limit < 0)
     return false;
--- a/lib/control/ctl.h
+++ b/lib/control/ctl.h
@@ -220,6 +220,7 @@
   name_t name;
   bool up;
   bool removed; /* no longer configured, its floors are still held */
+  bool floored; /* it has been given its floors */
 
   /* Of this process.  */
   int64_t boot;
@@ -227,7 +228,6 @@
   msec_t removed_at;
   bool stopping;
   int64_t cfg_index; /* of the configuration that it has in force */
-  msec_t added;      /* when the configuration first named it; 0 unknown */
   msec_t proposed;
   bool filled;     /* has had a full grant since it or this leader started */
   uint64_t digest; /* of the databases and terms in the last grant */
@@ -370,6 +370,8 @@
 /* ---- entry.c ---- */
 /* entry_renew: NULL when the renewal is not accepted.  */
 ent_t *entry_renew (control_t *c, const renew_t *r, msec_t now, int *slot);
+/* entry_floored: puts on record that T was given its floors.  */
+void entry_floored (control_t *c, ent_t *t, msec_t now);
 void entry_tick (control_t *c, msec_t now);
 
 /* ---- refuse.c ---- */
--- a/lib/control/entry.c
+++ b/lib/control/entry.c
@@ -64,6 +64,13 @@
   return t;
 }
 
+void
+entry_floored (control_t *c, ent_t *t, msec_t now)
+{
+  if (!t->floored)
+    propose (c, t, 3, "given its floors", now);
+}
+
 void
 entry_tick (control_t *c, msec_t now)
 {
--- a/lib/control/query.c
+++ b/lib/control/query.c
@@ -32,6 +32,14 @@
   return status >= 0 && status <= SUBMIT_UNKNOWN ? t[status] : "unknown";
 }
 
+static const char *
+entry_text (int64_t state)
+{
+  static const char *const t[] = { "down", "up", "removed", "has its floors" };
+
+  return state >= 0 && state <= 3 ? t[state] : "unknown";
+}
+
 static str_t
 subject (const rec_t *r)
 {
@@ -60,8 +68,10 @@
                      STR_ARG (r->address));
       break;
     case REC_ENTRY:
-      *from = r->state == 1 ? STR ("down") : STR ("up");
-      *to = str_of (r->state == 1 ? "up" : r->state == 0 ? "down" : "removed");
+      *from = r->state == 1   ? STR ("down")
+              : r->state == 3 ? STR ("")
+                              : STR ("up");
+      *to = str_of (entry_text (r->state));
       break;
     case REC_INTENT:
       *from = str_fmt (p, "term %lld primary " STR_FMT, (long long)r->base,
--- a/lib/control/snap.c
+++ b/lib/control/snap.c
@@ -74,7 +74,8 @@
       rec_t r = { .type = SNAP_ENTRY,
                   .name = str_of (t->name),
                   .base = i,
-                  .state = (t->up ? 1 : 0) | (t->removed ? 2 : 0) };
+                  .state = (t->up ? 1 : 0) | (t->removed ? 2 : 0)
+                           | (t->floored ? 4 : 0) };
       rec_pack (out, &r);
     }
 }
@@ -177,6 +178,7 @@
     return;
   t->up = r->state & 1;
   t->removed = r->state & 2;
+  t->floored = r->state & 4;
   t->removed_at = now;
 }
 
--- a/lib/control/state.c
+++ b/lib/control/state.c
@@ -183,12 +183,9 @@
   for (size_t i = 0; i < c->conf.instances.n; i++)
     {
       const ctl_instance_t *x = LIST_AT (c->conf.instances, ctl_instance_t, i);
-      bool known = ent_find (c, x->name, NULL) != NULL;
       ent_t *t = x->entry ? ent_add (c, x->name) : NULL;
       if (t)
         t->removed = t->filled = false;
-      if (t && !known)
-        t->added = now;
     }
   for (int i = 0; i < MAX_ENTRIES; i++)
     {
