Keep a standing queue short

In lasting overload the queue stood at the edge of the deadlines: nothing more was served, but every client session waited about a second for its answer or refusal. A queue that was not empty for 500 ms now accepts only what can end in half of its time.

--- a/lib/admit/admit.c
+++ b/lib/admit/admit.c
@@ -8,9 +8,20 @@
 /* Spreads over the mean service time that a deadline must leave.  */
 static const double spreads = 3;
 
+enum
+{
+  /* A queue that is not empty for this time stands: it serves no more requests
+     than a short one would, but each of them waits, and with it the client's
+     session.  Until then it may hold a burst up to its deadlines.  */
+  STANDING = 500, /* ms */
+  /* In a standing queue a request must leave 1 / SPARE of its time unused.  */
+  SPARE = 2
+};
+
 struct admit
 {
   queue_t queue;
+  msec_t empty; /* when the queue was last seen empty */
   limit_t limit;
   int running;
   wait_t *out; /* displaced requests to be reported as refused */
@@ -76,11 +87,21 @@
   return false;
 }
 
+static msec_t
+latest_end (admit_t *a, msec_t deadline, msec_t now)
+{
+  if (a->queue.n == 0)
+    a->empty = now;
+  if (now - a->empty < STANDING || deadline <= now)
+    return deadline;
+  return deadline - (deadline - now) / SPARE;
+}
+
 bool
 admit_offer (admit_t *a, uint64_t id, double worth, msec_t deadline,
              msec_t now, admit_kind_t *why)
 {
-  wait_t w = { id, worth, deadline };
+  wait_t w = { id, worth, latest_end (a, deadline, now) };
   int ahead = queue_ahead (&a->queue, &w);
 
   if (too_late (a, &w, wait_time (a, ahead), now))
--- a/test/test_admit.c
+++ b/test/test_admit.c
@@ -133,6 +133,26 @@
 }
 END_TEST
 
+/* Guards against a queue that stands at the edge of the deadlines in lasting
+   overload, and against refusing a burst that can be served.  */
+START_TEST (standing_queue)
+{
+  admit_t *a = make (100, 1);
+  admit_kind_t why;
+
+  serve (a, 10, 0);
+  for (uint64_t id = 1; id <= 60; id++)
+    ck_assert (admit_offer (a, id, 1, 1000, 0, NULL));
+  expect (a, 0, ADMIT_START, 1);
+  /* 60 requests of 10 ms are in front; 1,000 ms are left, then only half of
+     them may be used.  */
+  ck_assert (admit_offer (a, 61, 1, 1499, 499, NULL));
+  ck_assert (!admit_offer (a, 62, 1, 1500, 500, &why));
+  ck_assert_int_eq (why, ADMIT_TOO_LATE);
+  ck_assert (admit_offer (a, 63, 1, 2000, 500, NULL));
+}
+END_TEST
+
 /* Guards against the few answers that a freeze held up making later requests
    look hopeless.  */
 START_TEST (held_up_answers)
@@ -295,6 +315,7 @@
   tcase_add_test (t, full_queue);
   tcase_add_test (t, deadlines);
   tcase_add_test (t, stall_is_unlearned);
+  tcase_add_test (t, standing_queue);
   tcase_add_test (t, held_up_answers);
   tcase_add_test (t, limit_follows_slots);
   tcase_add_test (t, restart_and_cuts);
