Do not take sub-millisecond noise for queueing at a database

On loopback the learned limit fell to 1-4 and requests queued in the proxy. pgbench -c 8 -T 2 x 3, one select, load average 7 from other work: p99 1199 us before, 311 us after (direct 255 and 170); p50 125 and 122 us (direct 42 and 49).

--- a/lib/entry/finish.c
+++ b/lib/entry/finish.c
@@ -26,6 +26,16 @@
      follows the answer.  */
 }
 
+/* Time at the database for admission.  Below a millisecond the differences
+   come from this loop and the network, not from queueing there.  */
+static double
+service_ms (const req_t *r)
+{
+  double ms = (usec_now () - r->asked_us) / 1000;
+
+  return ms < 1 ? 1 : ms;
+}
+
 static void
 learn (req_t *r, admit_outcome_t o)
 {
@@ -36,7 +46,7 @@
     return;
   if (r->conn && r->conn->admitted && o != ADMIT_VOID)
     {
-      admit_done (d->admit, (usec_now () - r->asked_us) / 1000, o, w->now);
+      admit_done (d->admit, service_ms (r), o, w->now);
       r->conn->admitted = false;
     }
   if (r->route.db)
