--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,8 @@
 $(B)/bench/bench_%: $(B)/bench/bench_%.o $(LIBA)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(LIBS)
 
-tests: all $(TESTS)
+# bench_pq also serves the tests of separate processes.
+tests: all $(TESTS) $(B)/bench/bench_pq
 
 check: deps
 	@$(MAKE) --no-print-directory tests
@@ -89,6 +90,13 @@
 	    2>$(FB)/$$n.log || { tail -30 $(FB)/$$n.log; exit 1; }; \
 	  echo "$$n: $$(grep -E 'number_of_executed_units|stat::operations' $(FB)/$$n.log | tr '\n' ' ')"; done
 
+# Line coverage of the decision modules by the test programs (not the scripts).
+DECISIONS = lib/raft lib/control lib/route lib/admit lib/sql lib/entry/xchg.c lib/entry/pool.c lib/entry/plan.c
+coverage:
+	@$(MAKE) --no-print-directory B=build/cov OPT="-O1 -g --coverage" EXTRA_LDFLAGS=--coverage tests >/dev/null
+	@for t in $(notdir $(TESTSRC:.c=)); do build/cov/test/$$t >/dev/null 2>&1 || echo "$$t failed"; done
+	@gcovr -r . --object-directory build/cov $(addprefix -f ,$(DECISIONS)) --exclude test -s 2>/dev/null
+
 fmt:
 	@clang-format --dry-run -Werror $(CSRC)
 
@@ -106,11 +114,16 @@
 	install -m 755 $(B)/bin/pimentopostd $(B)/bin/pimentopost $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(LIBA) $(DESTDIR)$(PREFIX)/lib
 	install -m 644 include/*.h $(DESTDIR)$(PREFIX)/include/pimentopost
+	@# The installed events.h has no lib/ beside it: its parts are copied in.
+	awk '/^#include "\.\.\// { f = $$2; gsub (/"/, "", f); sub (/^\.\.\//, "", f); \
+	  while ((getline l < f) > 0) print l; close (f); next } { print }' include/events.h \
+	  > $(DESTDIR)$(PREFIX)/include/pimentopost/events.h
 	for m in man/*.[1-8]; do \
 	  d=$(DESTDIR)$(PREFIX)/share/man/man$${m##*.}; install -d $$d; install -m 644 $$m $$d; done
 
 -include $(LIBOBJ:.o=.d) $(wildcard $(B)/cmd/*/*.d $(B)/test/*.d $(B)/bench/*.d)
 -include */rules.mk
 
-.PHONY: all deps tests check fmt format lint clean install demo bench fuzz
+
+.PHONY: coverage all deps tests check fmt format lint clean install demo bench fuzz
 .SECONDARY:
--- a/cmd/pimentopostd/decide.c
+++ b/cmd/pimentopostd/decide.c
@@ -8,6 +8,7 @@
 {
   TICK = 10,     /* ms */
   REPORT = 100,  /* ms between reports of probes to the leader */
+  REVIEW = 200,  /* ms between looks at the membership */
   TARGETS = 512, /* databases probed at most */
   TURN = 256     /* messages taken before the clock is looked at again */
 };
@@ -321,9 +322,30 @@
   dblink_targets (d->link, t, n < TARGETS ? n : TARGETS);
 }
 
+static void
+review (decide_t *d)
+{
+  int64_t version = 0;
+  str_t text = control_config (d->control, &version, NULL, NULL);
+
+  join_configured (&d->join, d->pool, text, version);
+  if (d->now - d->reviewed < REVIEW)
+    return;
+  d->reviewed = d->now;
+  join_review (&d->join, d->raft, d->now);
+}
+
+static bool
+behind (const decide_t *d)
+{
+  return raft_applied (d->raft) < raft_commit (d->raft);
+}
+
 static bool
 tick (decide_t *d, err_t *e)
 {
+  if (behind (d) && !(raft_tick (d->raft, d->now, e) && settle (d, e)))
+    return false;
   if (d->now - d->ticked < TICK)
     return true;
   d->ticked = d->now;
@@ -334,6 +356,7 @@
   control_tick (d->control, d->now);
   report (d);
   retarget (d);
+  review (d);
   return settle (d, e);
 }
 
@@ -343,7 +366,7 @@
   struct pollfd p[2] = { { .fd = ring_fd (d->in), .events = POLLIN },
                          { .fd = ring_fd (d->links), .events = POLLIN } };
 
-  poll (p, 2, TICK);
+  poll (p, 2, behind (d) ? 0 : TICK);
   /* Answers that wait are taken before time is seen to have gone by, so that
      a pause of this process is not taken for silence of the others.  */
   d->now = msec_now ();
--- a/cmd/ppload/work.c
+++ b/cmd/ppload/work.c
@@ -7,7 +7,8 @@
 enum
 {
   TRIES = 12,
-  RESEND_MS = 15000 /* a request is given up after this time */
+  FAILURES_SHOWN = 5, /* of each kind */
+  RESEND_MS = 15000   /* a request is given up after this time */
 };
 
 static const cfg_kind_t *
@@ -55,22 +56,19 @@
 
   if (r->op == OP_INSERT)
     {
-      snprintf (s->row, sizeof s->row, "s%d-%d.%llu", s->n, s->rows++,
-                (unsigned long long)l->rng.seed);
+      snprintf (s->row, sizeof s->row, "s%d-%d.%x", s->n, s->rows++, l->run);
       s->ntags = s->used = 0;
       s->live = false;
     }
   if (r->op == OP_BLOCK)
-    snprintf (id, sizeof id, "b%d-%d.%llu.", s->n, s->rows++,
-              (unsigned long long)l->rng.seed);
+    snprintf (id, sizeof id, "b%d-%d.%x.", s->n, s->rows++, l->run);
   else
     snprintf (id, sizeof id, "%s", s->row);
   s->used++;
   r->write = ledger_add (l, s->group, id, r->op == OP_BLOCK);
   r->rollback = r->op == OP_BLOCK && rng_below (&l->rng, 4) == 0;
   if (r->op != OP_BLOCK && kind_of (l, s)->key)
-    snprintf (r->key, sizeof r->key, "%llx-%lld",
-              (unsigned long long)l->rng.seed, (long long)r->write);
+    snprintf (r->key, sizeof r->key, "%x-%lld", l->run, (long long)r->write);
 }
 
 void
@@ -435,7 +433,8 @@
     return work_lost (l, s);
   if (q->op == OP_VERSION && strcmp (code, "23505") == 0)
     l->group[s->group].version_row = true;
-  if (!not_run && q->op != OP_VERSION)
+  if (!not_run && q->op != OP_VERSION
+      && stat_of (l, s)->failed < FAILURES_SHOWN)
     log_event (EV_LOAD_ANSWER, "session=%d code=%s op=%d text=%s", s->n, code,
                (int)q->op, text);
   stat_of (l, s)->refused += not_run;
--- a/test/world.h
+++ b/test/world.h
@@ -68,9 +68,11 @@
   view_t *view;
   apr_pool_t *pool;
   bool alive, frozen;
+  bool unknown; /* told that the configuration does not name it */
   int zone;
   int64_t boot, seq, raft_term;
   int64_t cfg_term, cfg_index, cfg_version;
+  int64_t full;         /* last full renewal, 0 until it is answered */
   msec_t renewed, skew; /* its clock is the world's plus SKEW */
   msec_t answer[W_DB];
   bool reached[W_DB];
