Do not count control's connections against the limit of the others

Cause: with control's three connections open, entry instances were refused with 53300 at 15 of the 17 connections that their budgets allow; the refused connections made them report the primary as not reached, and 11 of 90 failovers were followed by a second promotion after 1.1 s.

--- a/cmd/ppdbsim/pg.c
+++ b/cmd/ppdbsim/pg.c
@@ -325,6 +325,20 @@
   conn_close (c);
 }
 
+/* has_room: control's own connections do not count against the limit of the
+   others, so that those may hold all of it but the last RESERVED.  */
+static bool
+has_room (const conn_t *c)
+{
+  const sim_t *s = c->sim;
+  int n = 0;
+
+  for (const conn_t *o = s->conns; o; o = o->next)
+    n += o->kind == K_PG && !o->gone && !o->fault && !o->control;
+  return conn_count (s) <= s->limit
+         && (c->control || n <= s->limit - RESERVED);
+}
+
 static void
 on_startup (conn_t *c, const pgstart_t *m)
 {
@@ -337,8 +351,7 @@
   c->pid = ++s->pids;
   c->secret = (uint32_t)rng_u64 (&s->rng);
   s->opened++;
-  int free_for = c->control ? s->limit : s->limit - RESERVED;
-  if (!c->fault && conn_count (s) > free_for)
+  if (!c->fault && !has_room (c))
     {
       sess_error (c, "53300", "sorry, too many clients already");
       c->eof = true;
