Refuse SET after SAVEPOINT

Cause: a setting made after a savepoint was kept at COMMIT although ROLLBACK TO had taken it back, so that the session's settings and the database's differed. Change: SET and RESET after SAVEPOINT in a block are refused with 0A000; request.c and batch.c share the input of plan_statement, which stood twice.

--- a/include/entry.h
+++ b/include/entry.h
@@ -45,7 +45,8 @@
   local_t local;
   pgrefusal_t refusal;
   const char *why;
-  bool touches; /* may leave state in the backend session */
+  bool touches;   /* may leave state in the backend session */
+  bool savepoint; /* the block has a savepoint from here on */
 } plan_t;
 
 /* State of the session's transaction block.  */
@@ -62,6 +63,7 @@
   bool lost;      /* the block's connection is gone */
   bool read_only; /* the block runs on a replica, or reads only */
   bool keyed;     /* the request carries a key */
+  bool savepoint; /* the block has had a savepoint */
 } planin_t;
 
 /* plan_statement: plan of one statement of class Q.  */
--- a/lib/entry/batch.c
+++ b/lib/entry/batch.c
@@ -130,18 +130,6 @@
   return (str_t){ 0 };
 }
 
-static void
-note_set (req_t *r, const sql_t *q)
-{
-  if (q->cls != SQL_SET && q->cls != SQL_RESET && q->cls != SQL_SHOW)
-    return;
-  free (r->set_name);
-  free (r->set_value);
-  r->set_name = strndup (q->name.n ? q->name.p : "", q->name.n);
-  r->set_value = strndup (q->value.n ? q->value.p : "", q->value.n);
-  r->set_default = q->defaulted || q->cls == SQL_RESET;
-}
-
 static plan_t
 execute_plan (req_t *r, const bmsg_t *b, const planin_t *in)
 {
@@ -156,28 +144,27 @@
     }
   sql_classify (r->w->sql, b->stmt->text, &q);
   r->text = b->stmt->text;
-  note_set (r, &q);
+  request_note_set (r, &q);
   return plan_statement (&q, in);
 }
 
 static void
 plan_batch (req_t *r)
 {
-  const session_t *s = r->s;
+  session_t *s = r->s;
   int executes = 0;
 
   if (!props_request (r, hint_text (r)))
     return;
-  planin_t in = { .block = (block_t)s->block,
-                  .lost = s->block_lost,
-                  .read_only = s->block_read,
-                  .keyed = r->key_len > 0 };
+  planin_t in = request_input (r);
   for (int i = 0; i < r->nmsg; i++)
     if (r->msg[i].type == 'E')
       {
         plan_t p = execute_plan (r, &r->msg[i], &in);
+        in.savepoint = in.savepoint || p.savepoint;
         r->plan = executes++ ? plan_join (r->plan, p) : p;
       }
+  s->block_savepoint = in.savepoint;
   if (executes == 0 && s->block_lost)
     refuse (r, PG_ABORTED, "the block's connection was lost");
   else if (executes == 0)
--- a/lib/entry/plan.c
+++ b/lib/entry/plan.c
@@ -88,8 +88,15 @@
     return refuse (PG_BAD_SETTING, "a key needs a write outside a block");
   if (q->cls == SQL_RESET && (q->name.n == 0 || str_eq (q->name, STR ("all"))))
     return refuse (PG_UNSUPPORTED, "RESET ALL and DISCARD in a block");
+  /* ROLLBACK TO would take the setting back, and the proxy does not keep the
+     settings of each savepoint.  */
+  if (touches && in->savepoint)
+    return refuse (PG_UNSUPPORTED, "SET and RESET after SAVEPOINT");
   bool ends = q->cls == SQL_COMMIT || (q->cls == SQL_MULTI && q->multi_block);
-  return run (ends && !in->read_only ? PLAN_COMMIT : PLAN_BLOCK, touches);
+  plan_t p = run (ends && !in->read_only ? PLAN_COMMIT : PLAN_BLOCK, touches);
+  p.savepoint
+      = q->cls == SQL_SAVEPOINT || (q->cls == SQL_MULTI && q->multi_block);
+  return p;
 }
 
 static plan_t
--- a/lib/entry/request.c
+++ b/lib/entry/request.c
@@ -97,7 +97,7 @@
     batch_end (r);
   s->block = block;
   if (block == BLOCK_NONE)
-    s->block_lost = s->block_read = false;
+    s->block_lost = s->block_read = s->block_savepoint = false;
   if (!r->flush)
     pg_put_ready (&s->out, block);
   buf_take (&s->in, r->size);
@@ -122,19 +122,20 @@
 
 /* ---- start ---- */
 
-static planin_t
-plan_input (const req_t *r)
+planin_t
+request_input (const req_t *r)
 {
   const session_t *s = r->s;
 
   return (planin_t){ .block = (block_t)s->block,
                      .lost = s->block_lost,
                      .read_only = s->block_read,
-                     .keyed = r->key_len > 0 };
+                     .keyed = r->key_len > 0,
+                     .savepoint = s->block_savepoint };
 }
 
-static void
-note_set (req_t *r, const sql_t *q)
+void
+request_note_set (req_t *r, const sql_t *q)
 {
   if (q->cls != SQL_SET && q->cls != SQL_RESET && q->cls != SQL_SHOW)
     return;
@@ -159,9 +160,10 @@
   if (!props_request (r, r->text))
     return;
   sql_classify (r->w->sql, r->text, &q);
-  note_set (r, &q);
-  planin_t in = plan_input (r);
+  request_note_set (r, &q);
+  planin_t in = request_input (r);
   r->plan = plan_statement (&q, &in);
+  r->s->block_savepoint = r->s->block_savepoint || r->plan.savepoint;
 }
 
 static bool
--- a/lib/entry/worker.h
+++ b/lib/entry/worker.h
@@ -102,6 +102,7 @@
   char block; /* block_t */
   bool block_lost;
   bool block_read;
+  bool block_savepoint;
   bool has_pending;
   uint32_t pid;
   uint32_t secret;
@@ -381,6 +382,10 @@
    ReadyForQuery with BLOCK follows.  */
 void request_end (req_t *r, char block);
 void request_refuse (req_t *r, pgrefusal_t why, const char *detail);
+/* request_input, request_note_set: what plan_statement needs of R, and the
+   setting that R makes.  */
+planin_t request_input (const req_t *r);
+void request_note_set (req_t *r, const sql_t *q);
 /* request_leave: takes R out of queues, before it goes elsewhere or ends.  */
 void request_leave (req_t *r);
 req_t *request_new (worker_t *w);
--- a/test/entry_process.sh
+++ b/test/entry_process.sh
@@ -74,6 +74,7 @@
 see "b|2" "BEGIN" "INSERT INTO t(id, val) VALUES ('b', '2')" "COMMIT" "SELECT id, val FROM t WHERE id = 'b'"
 see "two" "SET search_path = 'one'" "BEGIN" "SET search_path = 'two'" "COMMIT" "SHOW search_path"
 see "one" "SET search_path = 'one'" "BEGIN" "SET search_path = 'two'" "ROLLBACK" "SHOW search_path"
+see "not run" "BEGIN" "SAVEPOINT a" "SET search_path = 'two'" "ROLLBACK"
 [ -z "$(client e-entry-1 ledger "SHOW search_path")" ] || fail "a setting leaked into another session"
 see "not run" "LISTEN x"
 see "not run" "/* pimentopost kind=nokind */ SELECT 1"
--- a/test/test_entry_pool.c
+++ b/test/test_entry_pool.c
@@ -228,6 +228,12 @@
   for (size_t i = 0; i < sizeof c / sizeof *c; i++)
     ck_assert_msg (plan (c[i].text, c[i].block, c[i].keyed).kind == c[i].kind,
                    "%s", c[i].text);
+  sql_t set_q = { .cls = SQL_SET, .name = STR ("search_path") };
+  planin_t in = { .block = BLOCK_OPEN };
+  ck_assert_int_eq (plan_statement (&set_q, &in).kind, PLAN_BLOCK);
+  in.savepoint = true; /* ROLLBACK TO may take the setting back */
+  ck_assert_int_eq (plan_statement (&set_q, &in).kind, PLAN_REFUSE);
+  ck_assert (plan ("SAVEPOINT a", BLOCK_OPEN, false).savepoint);
   plan_t read = { .kind = PLAN_READ };
   plan_t write = { .kind = PLAN_WRITE };
   plan_t begin = { .kind = PLAN_BEGIN };
