Shorten the tests of the operator tool and of the texts

The scripted instance uses the submission statuses themselves, and one splice replaces four kinds of mutation.

--- a/test/test_cli.c
+++ b/test/test_cli.c
@@ -19,16 +19,13 @@
   MAX_SEEN = 64
 };
 
-/* What the instance does with one submission.  */
-typedef enum
+/* What the instance does with one submission: a submit_status_t, or closing
+   the connection without an answer.  */
+enum
 {
-  DO_DROP, /* closes the connection without an answer */
-  DO_FOLLOW,
-  DO_UNKNOWN,
-  DO_ACCEPT,
-  DO_CONFLICT,
-  DO_INVALID
-} step_t;
+  DROP = -1
+};
+typedef int step_t;
 
 /* A control instance that answers submissions by STEPS in turn (the last one
    repeats) and queries by STATUS in turn.  */
@@ -57,39 +54,22 @@
 answer_submit (fake_t *f, const submit_t *s, buf_t *out)
 {
   int i = f->submits < f->nsteps ? f->submits : f->nsteps - 1;
-  submit_resp_t r
-      = { .version = s->base + 1, .index = 41, .by = s->operator_name };
-
+  submit_resp_t r = { .status = f->steps[i],
+                      .version = s->base + 1,
+                      .index = 41,
+                      .by = STR ("linh"),
+                      .detail = STR ("too many instances") };
+
+  if (r.status == SUBMIT_NOT_LEADER)
+    r.leader = f->leader;
   if (f->submits < MAX_SEEN)
     snprintf (f->ids[f->submits], sizeof f->ids[0], STR_FMT, STR_ARG (s->id));
   f->submits++;
   f->first = *s;
   snprintf (f->operator_name, sizeof f->operator_name, STR_FMT,
             STR_ARG (s->operator_name));
-  switch (f->steps[i])
-    {
-    case DO_DROP:
-      return;
-    case DO_FOLLOW:
-      r.status = SUBMIT_NOT_LEADER;
-      r.leader = f->leader;
-      break;
-    case DO_UNKNOWN:
-      r.status = SUBMIT_UNKNOWN;
-      break;
-    case DO_CONFLICT:
-      r.status = SUBMIT_CONFLICT;
-      r.version = 8;
-      r.by = STR ("linh");
-      break;
-    case DO_INVALID:
-      r.status = SUBMIT_INVALID;
-      r.detail = STR ("too many instances");
-      break;
-    default:
-      r.status = SUBMIT_ACCEPTED;
-    }
-  rpc_encode (out, MSG_SUBMIT_RESP, &r);
+  if (f->steps[i] != DROP)
+    rpc_encode (out, MSG_SUBMIT_RESP, &r);
 }
 
 static void
@@ -210,8 +190,8 @@
    was lost, and against giving up when a follower was asked.  */
 START_TEST (resends_with_same_id)
 {
-  static const step_t one[] = { DO_DROP, DO_UNKNOWN, DO_FOLLOW };
-  static const step_t two[] = { DO_DROP, DO_ACCEPT };
+  static const step_t one[] = { DROP, SUBMIT_UNKNOWN, SUBMIT_NOT_LEADER };
+  static const step_t two[] = { DROP, SUBMIT_ACCEPTED };
   fake_t f = { 0 };
   fake_t leader = { 0 };
   char out[2000];
@@ -243,11 +223,11 @@
     step_t step;
     int exit;
     const char *text;
-  } cases[] = { { DO_CONFLICT, 4, "linh won with version 8" },
-                { DO_INVALID, 3, "too many instances" },
-                { DO_DROP, 5, "outcome unknown" },
-                { DO_UNKNOWN, 5, "outcome unknown" },
-                { DO_FOLLOW, 5, "unreachable" } };
+  } cases[] = { { SUBMIT_CONFLICT, 4, "linh won with version 8" },
+                { SUBMIT_INVALID, 3, "too many instances" },
+                { DROP, 5, "outcome unknown" },
+                { SUBMIT_UNKNOWN, 5, "outcome unknown" },
+                { SUBMIT_NOT_LEADER, 5, "unreachable" } };
   fake_t f = { 0 };
   char out[2000];
   int code;
@@ -270,7 +250,7 @@
    version, and against waiting for an instance that is cut off.  */
 START_TEST (waits_until_in_force)
 {
-  static const step_t steps[] = { DO_ACCEPT };
+  static const step_t steps[] = { SUBMIT_ACCEPTED };
   static const char *const status[]
       = { "[\n{\"instance\":\"c\",\"role\":\"follower\"}\n]\n",
           HEAD ENTRY ("a", "up", "40") ENTRY ("b", "up", "41") "\n]\n",
@@ -299,7 +279,7 @@
 {
   static const char *const mine[] = { "follower's" };
   static const char *const theirs[] = { "leader's" };
-  static const step_t none[] = { DO_DROP };
+  static const step_t none[] = { DROP };
   fake_t f = {
     .status = mine,
     .nstatus = 1,
@@ -325,7 +305,7 @@
 START_TEST (watch_prints_changes)
 {
   static const char *const status[] = { "one", "one", "two" };
-  static const step_t none[] = { DO_DROP };
+  static const step_t none[] = { DROP };
   fake_t f = { .status = status, .nstatus = 3 };
   char out[2000];
 
@@ -348,7 +328,7 @@
       = { "[\n{\"a\":\"x\",\"wall\":1796362789962},\n{\"a\":\"longer\","
           "\"wall\":0},\n{\"b\":\"\",\"c\":true}\n]\n",
           "plain\n" };
-  static const step_t none[] = { DO_DROP };
+  static const step_t none[] = { DROP };
   fake_t f = { .status = status, .nstatus = 2 };
   char out[2000];
 
--- a/test/test_conf.c
+++ b/test/test_conf.c
@@ -221,34 +221,26 @@
     "%YAML 1.1\n", "---\n", "99999999999", "0.5",  "\xff",   "\xef\xbb\xbf",
     "<<: "
   };
+  char byte = (char)rng_u64 (r);
+  char part[40];
   size_t at = rng_below (r, n + 1);
-  size_t len = rng_below (r, 40);
-  const char *w = words[rng_below (r, sizeof words / sizeof *words)];
+  size_t cut = rng_below (r, 2) * rng_below (r, 40);
+  /* A word, a byte, nothing (deletes) or a part of the text again.  */
+  str_t in[] = { str_of (words[rng_below (r, sizeof words / sizeof *words)]),
+                 { &byte, 1 },
+                 { 0 },
+                 { part, n - at < sizeof part ? n - at : sizeof part } };
+  str_t w = in[rng_below (r, 4)];
 
-  switch (rng_below (r, 4))
-    {
-    case 0: /* flip a byte */
-      if (at < n)
-        p[at] = (char)rng_u64 (r);
-      return n;
-    case 1: /* delete */
-      if (at + len > n)
-        return at;
-      memmove (p + at, p + at + len, n - at - len);
-      return n - len;
-    case 2: /* repeat a part */
-      if (at + len > n || n + len > cap)
-        return n;
-      memmove (p + at + len, p + at, n - at);
-      return n + len;
-    default: /* insert a word */
-      len = strlen (w);
-      if (n + len > cap)
-        return n;
-      memmove (p + at + len, p + at, n - at);
-      memcpy (p + at, w, len);
-      return n + len;
-    }
+  memcpy (part, p + at, in[3].n);
+  if (cut > n - at)
+    cut = n - at;
+  if (n - cut + w.n > cap)
+    return n;
+  memmove (p + at + w.n, p + at + cut, n - at - cut);
+  if (w.n)
+    memcpy (p + at, w.p, w.n);
+  return n - cut + w.n;
 }
 
 /* Guards against crashes and against accepted text that does not read back;
