--- a/lib/control/apply.c
+++ b/lib/control/apply.c
@@ -95,6 +95,7 @@
   if (r->state & M_REMOVED)
     {
       m->bits = M_REMOVED;
+      m->removed_at = now;
       m->group[0] = '\0';
       return;
     }
@@ -123,6 +124,11 @@
   if (!t)
     return;
   t->proposed = 0;
+  if (r->state == 3)
+    {
+      t->floored = true;
+      return;
+    }
   t->up = r->state == 1;
   if (r->state == 2 && t->removed)
     {
