Keep each log event on one line

Cause: texts of libpq brought line ends into log lines (E4002). Change: log_event replaces control characters by spaces. Measured: test_base, 8 checks pass.

--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -99,6 +99,10 @@
   n += m;
   if (n > (int)sizeof line - 2)
     n = (int)sizeof line - 2;
+  /* Texts of libraries may hold line ends; one event is one line.  */
+  for (int i = 0; i < n; i++)
+    if ((unsigned char)line[i] < ' ' || line[i] == 0x7f)
+      line[i] = ' ';
   line[n] = '\n';
   /* One write call per line, so that lines of several threads or processes
      on one descriptor do not mix.  */
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -5,6 +5,7 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static apr_pool_t *pool;
 
@@ -126,6 +127,27 @@
 }
 END_TEST
 
+/* Guards against one event taking several lines of the log, which libpq's
+   messages with line ends did.  */
+START_TEST (event_is_one_line)
+{
+  char text[512];
+  int fds[2];
+  int saved = dup (STDERR_FILENO);
+
+  ck_assert_int_eq (pipe (fds), 0);
+  dup2 (fds[1], STDERR_FILENO);
+  log_event (EV_FATAL, "cause=\"refused\n\tIs it running?\"");
+  dup2 (saved, STDERR_FILENO);
+  close (saved);
+  ssize_t n = read (fds[0], text, sizeof text);
+  ck_assert_int_gt (n, 1);
+  ck_assert_ptr_eq (memchr (text, '\n', (size_t)n), text + n - 1);
+  close (fds[0]);
+  close (fds[1]);
+}
+END_TEST
+
 typedef struct
 {
   int runs;
@@ -171,6 +193,7 @@
   tcase_add_test (t, codec_round_trip);
   tcase_add_test (t, codec_refuses_damage);
   tcase_add_test (t, codec_refuses_announced_lengths);
+  tcase_add_test (t, event_is_one_line);
   tcase_add_test (t, supervisor_restarts_with_a_limit);
   suite_add_tcase (s, t);
   srunner_run_all (r, CK_NORMAL);
