Show that the tests of the entry instance notice a missing check

Cause: no run showed that the tests of R3 to R6 and R8 fail when the rule is broken; two did not: entry_process.sh passed when sessions were closed during a request, and no test kept a configuration from going back in lib/route. Change: test/mutants.sh takes out one check at a time in a copy; entry_process.sh wants the answer before the farewell; test_route configuration_never_goes_back.

--- a/test/entry_process.sh
+++ b/test/entry_process.sh
@@ -138,7 +138,10 @@
 see "3" "$K"
 
 # R8: a planned stop interrupts no request; health fails first.
-client e-entry-1 ledger "SELECT pg_sleep(1.5)" "SELECT 6" >"$W/drain.log" 2>&1 &
+# The write still waits for its confirmation when sessions are closed, 1 s on.
+P=$(primary_of ledger)
+for i in 1 2 3; do [ "$i" = "$P" ] || fault "$(cat "$W/ledger-$i.port")" lag 1800 >/dev/null; done
+client e-entry-1 ledger "/* pimentopost deadline=5000 */ INSERT INTO t(id, val) VALUES ('r8', '1') RETURNING id" "SELECT 6" >"$W/drain.log" 2>&1 &
 C=$!
 until_true 3 sleeping || fail "the request does not run"
 kill -TERM "$(cat "$W/e-entry-1.pid")"
@@ -146,6 +149,7 @@
 until_true 1 unhealthy || fail "healthy while stopping"
 wait $C
 grep -q "57P01\|shutting down" "$W/drain.log" || fail "no farewell: $(cat "$W/drain.log")"
+[ "$(head -1 "$W/drain.log")" = r8 ] || fail "no answer before the farewell: $(cat "$W/drain.log")"
 grep -q "outcome unknown\|ERROR" "$W/drain.log" && fail "interrupted: $(cat "$W/drain.log")"
 ended () { ! kill -0 "$(cat "$W/e-entry-1.pid")"; }
 until_true 5 ended || fail "does not end"
--- /dev/null
+++ b/test/mutants.sh
@@ -0,0 +1,56 @@
+#!/bin/sh
+# A rule is proved only when its test fails without the code that keeps it:
+# takes out one check of the entry instance at a time, in a copy, and expects
+# the named test to fail.  The faults of control and of the replicated log are
+# in test_fuzz_control and raft_faults.sh.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+B=${1:-build}
+W=$(mktemp -d) || exit 1
+trap 'rm -rf "$W"' EXIT
+mkdir -p "$W/build/test" "$W/build/cmd"
+cp -a Makefile include lib cmd test tools examples bench "$W" || exit 1
+cp -a "$B/lib" "$B/libpimentopost.a" "$W/build" || exit 1
+cp -a "$B"/test/*.[od] "$W/build/test" || exit 1
+cp -a "$B/cmd" "$W/build" || exit 1
+result=0
+
+# mutant RULE FILE FROM TO TEST: replaces the one line with FROM by TO.
+mutant () {
+  n=$(grep -cF -- "$3" "$W/$2")
+  [ "$n" = 1 ] || { echo "FAIL: $1: '$3' stands $n times in $2"; result=1; return; }
+  cp -p "$W/$2" "$W/saved"
+  FROM=$3 TO=$4 awk '{ i = index ($0, ENVIRON["FROM"])
+    if (i) $0 = substr ($0, 1, i - 1) ENVIRON["TO"] substr ($0, i + length (ENVIRON["FROM"])); print }' \
+    "$W/saved" >"$W/$2"
+  if ! make -C "$W" --no-print-directory WARN= "build/test/$5" >"$W/log" 2>&1; then
+    echo "FAIL: $1: does not build"; tail -5 "$W/log"; result=1
+  elif timeout 120 "$W/build/test/$5" >"$W/log" 2>&1; then
+    echo "FAIL: $1: $5 does not notice '$4' in $2"; result=1
+  else
+    echo "$1: noticed by $5: $(grep -E '^[a-z_/]*test.*:[FE]:' "$W/log" | head -1 | cut -d: -f5-6)"
+  fi
+  cp -p "$W/saved" "$W/$2"; touch "$W/$2"
+}
+
+mutant R2 lib/entry/xchg.c 'x->confirmed && w->lease (w->arg) ? good' 'x->confirmed ? good' test_entry_xchg
+mutant R2 lib/entry/xchg.c '= yes && x->token.term == x->plan.term;' '= yes;' test_entry_xchg
+mutant R3 lib/entry/pool.c "s->owner != owner || doubt || ready != 'I'" "s->owner != owner || ready == 0" test_entry_pool
+mutant R4 lib/entry/xchg.c 'if (x->op >= x->nops || x->ops[x->op].type != type)' 'if (x->op >= x->nops)' test_entry_xchg
+mutant R5 lib/entry/xchg.c 'return x->failed && !x->complete ? XL_FAILED : XL_UNKNOWN;' 'return XL_NOT_RUN;' test_entry_xchg
+mutant R6 lib/entry/xchg.c 'x->key_taken = true;' 'x->key_taken = false;' test_entry_xchg
+mutant R1 lib/entry/xchg.c 'x->covered = yes;' 'x->covered = true;' test_entry_xchg
+mutant R9 lib/route/view.c 'g->cfg_index <= v->cfg_index)' 'false)' test_route
+mutant age lib/route/view.c 'if (g->samples[i].sent >= since)' 'if (true)' test_route
+
+# R8 shows only in a whole process.
+mutant_process () {
+  FROM=$3 TO=$4 awk '{ i = index ($0, ENVIRON["FROM"])
+    if (i) $0 = substr ($0, 1, i - 1) ENVIRON["TO"] substr ($0, i + length (ENVIRON["FROM"])); print }' \
+    "$2" >"$W/$2"
+  make -C "$W" --no-print-directory WARN= all build/bench/bench_pq >"$W/log" 2>&1 || { tail -5 "$W/log"; result=1; return; }
+  if timeout 120 sh "$W/$5" "$W/build" >"$W/log" 2>&1; then echo "FAIL: $1: $5 does not notice '$4' in $2"; result=1
+  else echo "$1: noticed by $5: $(grep FAIL: "$W/log" | head -1)"; fi
+}
+mutant_process R8 lib/entry/timer.c 'if (!between && !last)' 'if (!between && false)' test/entry_process.sh
+exit $result
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -97,6 +97,40 @@
 }
 END_TEST
 
+/* Guards against a configuration that goes back, whoever sends the older one.
+ */
+START_TEST (configuration_never_goes_back)
+{
+  grant_t g = { .cfg = STR ("team: t\n") };
+  static const struct
+  {
+    int64_t status, raft_term, term, index;
+    bool taken;
+  } c[] = {
+    { GRANT_NOT_LEADER, 1, 1, 10, true },
+    { GRANT_OK, 2, 2, 12, true },
+    { GRANT_OK, 2, 2, 12, false },
+    { GRANT_OK, 2, 1, 11, false },
+    { GRANT_NOT_LEADER, 2, 1, 10, false },
+    { GRANT_NOT_LEADER, 1, 1, 20, false },
+    { GRANT_OK, 3, 2, 11, false },
+    { GRANT_OK, 3, 3, 13, true },
+  };
+
+  for (size_t i = 0; i < sizeof c / sizeof *c; i++)
+    {
+      bool fresh;
+      g.seq = (int64_t)i + 1;
+      g.status = c[i].status;
+      g.raft_term = c[i].raft_term;
+      g.cfg_term = c[i].term;
+      g.cfg_index = c[i].index;
+      view_grant (view, &g, 1000 + (msec_t)i, &fresh, NULL);
+      ck_assert_msg (fresh == c[i].taken, "grant %zu", i);
+    }
+}
+END_TEST
+
 /* Guards against a write without a lease.  */
 START_TEST (write_needs_lease)
 {
@@ -257,6 +291,7 @@
   tcase_add_test (t, lease_counts_from_send);
   tcase_add_test (t, stale_grants_are_refused);
   tcase_add_test (t, later_term_ends_the_lease);
+  tcase_add_test (t, configuration_never_goes_back);
   tcase_add_test (t, write_needs_lease);
   tcase_add_test (t, barrier_needs_fresh_sample);
   tcase_add_test (t, age_bound);
