Rebuild fuzzing objects when headers change

A fuzz run with objects of an older world.h wrote past a structure: the dependency files under the fuzz folder were not read. The deliberate faults move to a file of their own.

--- a/test/oracle.h
+++ b/test/oracle.h
@@ -91,6 +91,9 @@
 bool oracle_fail (oracle_t *o, const char *fmt, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+/* ---- oracle_fault.c ---- */
+void oracle_fault (world_t *w, fault_t f);
+
 /* ---- oracle_check.c ---- */
 void oracle_ack (oracle_t *o, const pending_write_t *p);
 /* oracle_has: the first N acknowledged writes of GROUP are in D.  */
--- /dev/null
+++ b/test/oracle_fault.c
@@ -0,0 +1,80 @@
+#include "oracle.h"
+
+static bool
+always_over (const control_t *c, const grp_t *g, msec_t now)
+{
+  (void)c;
+  (void)g;
+  (void)now;
+  return true;
+}
+
+static int
+need_one (const control_t *c, const grp_t *g)
+{
+  (void)c;
+  (void)g;
+  return 1;
+}
+
+static bool
+less_far (const mem_t *a, const mem_t *b)
+{
+  return failover_further (b, a);
+}
+
+static int64_t
+no_others (const control_t *c, const mem_t *m, int slot, msec_t now)
+{
+  (void)c;
+  (void)m;
+  (void)slot;
+  (void)now;
+  return 0;
+}
+
+static bool
+any_base (const control_t *c, const rec_t *r)
+{
+  (void)c;
+  (void)r;
+  return true;
+}
+
+static const outcome_t *
+no_outcome (const control_t *c, str_t id)
+{
+  (void)c;
+  (void)id;
+  return NULL;
+}
+
+static int64_t
+all_active (const mem_t *m)
+{
+  (void)m;
+  return DB_ACTIVE;
+}
+
+void
+oracle_fault (world_t *w, fault_t f)
+{
+  w->rules = w->ctl[0].c->rules;
+  w->ruled = true;
+  if (f == FAULT_NEED)
+    w->rules.need = need_one;
+  else if (f == FAULT_FURTHER)
+    w->rules.further = less_far;
+  else if (f == FAULT_LEASE_OVER)
+    w->rules.lease_over = always_over;
+  else if (f == FAULT_OTHERS)
+    w->rules.others = no_others;
+  else if (f == FAULT_BASE)
+    w->rules.base_holds = any_base;
+  else if (f == FAULT_OUTCOME)
+    w->rules.outcome = no_outcome;
+  else if (f == FAULT_STATE)
+    w->rules.state = all_active;
+  for (int i = 0; i < W_CTL; i++)
+    w->ctl[i].c->rules = w->rules;
+}
--- a/test/rules.mk
+++ b/test/rules.mk
@@ -20,8 +20,10 @@
 
 .PHONY: fuzz-raft
 
-FUZZ_CONTROL_OBJ = $(patsubst %,$(FB)/test/%.o,oracle oracle_check world world_db world_ent world_raft)
+FUZZ_CONTROL_OBJ = $(patsubst %,$(FB)/test/%.o,oracle oracle_check oracle_fault world world_db world_ent world_raft)
 $(FB)/fuzz_control: $(FUZZ_CONTROL_OBJ)
+# Headers of the objects built for fuzzing.
+-include $(wildcard $(FB)/test/*.d $(FB)/lib/*/*.d)
 $(FB)/fuzz_control: EXTRA_LDFLAGS += $(CHECK_LIBS)
 
 # A run of the fuzz target of control and routing alone, of so many operations.
