Give connections up when an instance is not in the configuration

Cause: renewals left raft_term empty, so that a new leader confirmed no budget for 2 s, and an instance that was taken out of the configuration kept its connections for up to 2 h. Change: the link fills raft_term; a grant with GRANT_UNKNOWN ends leases, budgets and floors of the view.

--- a/lib/entry/link.c
+++ b/lib/entry/link.c
@@ -28,6 +28,7 @@
   buf_t rx;
   buf_t tx;
   int64_t seq;
+  int64_t raft_term; /* of the last grant */
   int brief;    /* renewals over this connection since the last full one; -1:
                    none yet */
   msec_t next;  /* time of the next renewal */
@@ -184,7 +185,8 @@
                 .cfg_term = -1,
                 .cfg_index = -1,
                 .stopping = instance_stopping (l->in),
-                .address = set->listen };
+                .address = set->listen,
+                .raft_term = l->raft_term };
 
   if (t == NULL)
     abort ();
@@ -263,6 +265,7 @@
     {
       for (int i = 0; i < l->in->nworkers; i++)
         deliver (l, body, l->in->worker[i]);
+      l->raft_term = g->raft_term;
       if (g->status == GRANT_OK)
         __atomic_store_n (&l->in->contact, msec_now (), __ATOMIC_RELEASE);
       if (!l->up)
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -169,6 +169,20 @@
   return true;
 }
 
+/* The instance is not in the configuration: its floors go to others as soon as
+   it reports that it holds no connection.  */
+static void
+give_up (view_t *v, const grant_t *g)
+{
+  v->raft_term = g->raft_term;
+  v->seq = g->seq;
+  v->contact = 0;
+  for (int i = 0; i < v->nlimits; i++)
+    v->limits[i]->until = 0;
+  for (int i = 0; i < v->ngroups; i++)
+    v->groups[i]->until = 0;
+}
+
 bool
 view_grant (view_t *v, const grant_t *g, msec_t now, bool *cfg_new, err_t *e)
 {
@@ -179,6 +193,8 @@
                     (long long)g->raft_term, (long long)g->seq,
                     (long long)v->raft_term, (long long)v->seq);
   *cfg_new = newer_cfg (v, g);
+  if (g->status == GRANT_UNKNOWN)
+    give_up (v, g);
   if (g->status != GRANT_OK && g->status != GRANT_NO_QUORUM)
     return true;
   v->raft_term = g->raft_term;
--- a/test/test_route.c
+++ b/test/test_route.c
@@ -239,6 +239,25 @@
 }
 END_TEST
 
+/* Guards against an instance that was taken out of the configuration keeping
+   its connections: their number is given to others.  */
+START_TEST (unknown_instance_gives_up)
+{
+  grant_t g = { .seq = 2, .raft_term = 1, .status = GRANT_UNKNOWN };
+  bool fresh;
+
+  grant (1000, 1001, 1, 1, "a", "1:0");
+  ck_assert_int_eq (view_limit (view, STR ("b"), 1010), 3);
+  ck_assert (view_grant (view, &g, 1020, &fresh, NULL));
+  ck_assert_int_eq (view_limit (view, STR ("b"), 1021), 0);
+  ck_assert_int_eq (view_limit (view, STR ("a"), 1021), 0);
+  ck_assert (!view_lease (view, STR ("g"), 1, 1021));
+  seq = 2;
+  grant (1100, 1101, 1, 1, "a", "1:0");
+  ck_assert_int_eq (view_limit (view, STR ("b"), 1110), 3);
+}
+END_TEST
+
 static const struct
 {
   const char *history;
@@ -300,6 +319,7 @@
   tcase_add_loop_test (t, coverage_across_terms, 0,
                        sizeof coverage / sizeof *coverage);
   tcase_add_test (t, learned_lag_decides);
+  tcase_add_test (t, unknown_instance_gives_up);
   tcase_add_test (t, bad_tokens);
   suite_add_tcase (s, t);
   srunner_run_all (r, CK_NORMAL);
