--- a/lib/control/detect.c
+++ b/lib/control/detect.c
@@ -168,7 +168,8 @@
 
 /* A control instance probes all the time, so the age of its last answer tells
    everything.  An entry instance may have been idle: it counts as having lost
-   the primary only when failures went on for THRESHOLD.  */
+   the primary only when failures went on for THRESHOLD without any answer; one
+   connection more that was refused does not outweigh the answers on others. */
 static opinion_t
 opinion (const obs_t *o, msec_t threshold, msec_t now)
 {
@@ -176,9 +177,10 @@
     return OPINION_NONE;
   if (o->control)
     return now - o->ok >= threshold ? OPINION_LOST : OPINION_REACHED;
-  if (o->reachable)
-    return now - o->ok < threshold ? OPINION_REACHED : OPINION_NONE;
-  return now - o->bad_since >= threshold ? OPINION_LOST : OPINION_NONE;
+  if (now - o->ok < threshold)
+    return OPINION_REACHED;
+  return !o->reachable && now - o->bad_since >= threshold ? OPINION_LOST
+                                                          : OPINION_NONE;
 }
 
 static void
--- a/lib/entry/conn.c
+++ b/lib/entry/conn.c
@@ -321,8 +321,10 @@
       connected (c);
       break;
     default:
-      log_event (EV_CONNECT_FAILED, "database=" STR_FMT " address=" STR_FMT,
-                 STR_ARG (d->name), STR_ARG (d->address));
+      log_event (EV_CONNECT_FAILED,
+                 "database=" STR_FMT " address=" STR_FMT " cause=\"%s\"",
+                 STR_ARG (d->name), STR_ARG (d->address),
+                 PQerrorMessage (c->pg));
       conn_close (c);
       dbpool_failed (d);
     }
