Share what a message of the leader means

Change: hear_leader in lib/raft. Measured: test_raft (11), test_raft_one (7), test_store (9), test_fuzz_raft (447,000 operations) and raft_faults.sh pass.

--- a/lib/raft/local.h
+++ b/lib/raft/local.h
@@ -106,6 +106,9 @@
 /* raft.c */
 bool failed (raft_t *r);
 void reset_timeout (raft_t *r);
+/* hear_leader: a message of the leader FROM of TERM, which is not before the
+   present one, came.  */
+bool hear_leader (raft_t *r, int64_t term, int64_t from);
 /* last_quorum: leader: when a quorum last answered, at least its election.  */
 msec_t last_quorum (const raft_t *r);
 /* follow: becomes a follower in TERM, at least the present one.  */
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -61,6 +61,17 @@
   return r->ops->save_vote (r->arg, r->term, r->vote, &r->err) || failed (r);
 }
 
+bool
+hear_leader (raft_t *r, int64_t term, int64_t from)
+{
+  if (!follow (r, term))
+    return false;
+  r->leader = from;
+  r->heard = r->now;
+  reset_timeout (r);
+  return true;
+}
+
 static apr_status_t
 raft_free (void *arg)
 {
--- a/lib/raft/snap.c
+++ b/lib/raft/snap.c
@@ -211,11 +211,8 @@
     return true;
   if (m->term >= r->term)
     {
-      if (!follow (r, m->term))
+      if (!hear_leader (r, m->term, m->from))
         return false;
-      r->leader = m->from;
-      r->heard = r->now;
-      reset_timeout (r);
       if (!take_snapshot (r, m, &a))
         return false;
     }
