--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 B ?= build
 PREFIX ?= /usr/local
 PKGS = apr-1 libpq libxxhash yaml-0.1 check libmicrohttpd
+PLATFORM_PKGS = apr-1 libxxhash yaml-0.1 libmicrohttpd jansson
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-missing-field-initializers
 CFLAGS_ALL = -std=gnu11 $(WARN) $(OPT) -D_GNU_SOURCE -Iinclude -pthread \
@@ -27,9 +28,9 @@
 TESTS = $(TESTSRC:test/%.c=$(B)/test/%)
 BENCHSRC = $(wildcard bench/bench_*.c)
 BENCHES = $(BENCHSRC:bench/%.c=$(B)/bench/%)
-CSRC = $(wildcard lib/*/*.[ch] cmd/*/*.[ch] include/*.h test/*.[ch] bench/*.[ch])
+CSRC = $(wildcard platform/*.[ch] platform/*/*.[ch] lib/*/*.[ch] cmd/*/*.[ch] include/*.h test/*.[ch] bench/*.[ch])
 
-all: $(BINS) $(LIBA)
+all: $(BINS) $(LIBA) platform
 
 deps:
 	@tools/deps
@@ -49,6 +50,19 @@
 endef
 $(foreach p,$(PROGS),$(eval $(call prog,$(p))))
 
+# The programs of the users' platform need none of PostgreSQL's libraries.
+PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/promote.c platform/api.c,$(wildcard platform/*.c)))
+PLATFORM_LIBS = -Wl,--as-needed $(shell pkg-config --libs $(PLATFORM_PKGS) 2>/dev/null) -lmsgpackc -pthread -lm
+platform: $(B)/bin/pimentopost-entry $(B)/bin/pimentopost-control
+
+$(B)/bin/pimentopost-entry: $(B)/platform/entry/main.o $(PLATFORM_OBJ) $(LIBA)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
+
+$(B)/bin/pimentopost-control: $(B)/platform/control/main.o $(B)/platform/promote.o $(B)/platform/api.o $(PLATFORM_OBJ) $(LIBA)
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS) -lcurl
+
 # Files test/*.c that do not start with test_ are helpers for all tests.
 TESTAUX = $(filter-out $(TESTSRC) $(wildcard test/fuzz_*.c),$(wildcard test/*.c))
 $(B)/test/test_%: $(B)/test/test_%.o $(TESTAUX:%.c=$(B)/%.o) $(LIBA)
@@ -121,9 +135,9 @@
 	for m in man/*.[1-8]; do \
 	  d=$(DESTDIR)$(PREFIX)/share/man/man$${m##*.}; install -d $$d; install -m 644 $$m $$d; done
 
--include $(LIBOBJ:.o=.d) $(wildcard $(B)/cmd/*/*.d $(B)/test/*.d $(B)/bench/*.d)
+-include $(LIBOBJ:.o=.d) $(wildcard $(B)/platform/*.d $(B)/platform/*/*.d) $(wildcard $(B)/cmd/*/*.d $(B)/test/*.d $(B)/bench/*.d)
 -include */rules.mk
 
 
-.PHONY: coverage all deps tests check fmt format lint clean install demo bench fuzz
+.PHONY: platform coverage all deps tests check fmt format lint clean install demo bench fuzz
 .SECONDARY:
--- a/include/base.h
+++ b/include/base.h
@@ -159,6 +159,14 @@
    (0 emergency .. 7 debug, as in syslog).  */
 void log_open (const char *program, int level);
 int log_level (void);
+/* log_structured: from now on one JSON object a line on standard output,
+   never waiting for its reader: a line that does not fit is counted, as are
+   those of one event over LOG_RATE a second.  */
+void log_structured (bool on);
+enum
+{
+  LOG_RATE = 40 /* lines of one event a second */
+};
 /* log_event: one line on standard error: `<LEVEL>PROGRAM[PID]: TIME E<NUMBER>
    NAME key=value ...`.  */
 void log_event (event_t ev, const char *fmt, ...)
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -42,6 +42,12 @@
   MSG_RAFT_STATE, /* this and the next two only in files */
   MSG_RAFT_RECORD,
   MSG_RAFT_SNAP,
+  MSG_ROSTER,
+  MSG_WATCH,
+  MSG_NEWS,
+  MSG_FLEET_RECORD, /* this and the next only in the log and in snapshots */
+  MSG_FLEET_STATE,
+  MSG_SETUP,
   MSG_TYPES
 } msgtype_t;
 
@@ -353,6 +359,125 @@
   str_t leader; /* host:port */
 } query_resp_t;
 
+/* ---- fleets whose backend servers register by heartbeat ---- */
+
+/* How fresh the reads of a route are.  */
+typedef enum
+{
+  FRESH_PRIMARY = 0, /* every commit acknowledged before the read */
+  FRESH_BOUNDED = 1, /* those acknowledged more than MAX_AGE before it */
+  FRESH_SESSION = 2  /* as FRESH_BOUNDED, and all of the same session */
+} freshness_t;
+
+typedef struct
+{
+  str_t host;    /* database name that clients ask for */
+  str_t service; /* group that serves it */
+  int64_t freshness;
+  int64_t max_age;  /* ms */
+  int64_t timeout;  /* ms, of one statement */
+  int64_t target;   /* ms, of one operation */
+  int64_t priority; /* 0 is the highest */
+} route_entry_t;
+
+typedef struct
+{
+  str_t name;
+  int64_t connections; /* limit of each database, all callers together */
+  int64_t sync_replicas;
+} service_entry_t;
+
+/* A configuration in typed form.  */
+typedef struct
+{
+  int64_t version;
+  int64_t tx_idle; /* ms that a transaction may stay idle */
+  list_t routes;   /* route_entry_t */
+  list_t services; /* service_entry_t */
+} setup_t;
+
+/* What is known of one backend server.  */
+typedef struct
+{
+  str_t id;
+  str_t service;
+  str_t address; /* host:port */
+  str_t zone;
+  int64_t born; /* orders the starts under one id */
+  int64_t seq;  /* orders the heartbeats of one start */
+  int64_t age;  /* ms since the last heartbeat, at the sender */
+  int64_t slots;
+  bool primary; /* as it sees itself */
+  bool leaving; /* no new work */
+  bool gone;    /* signed off */
+} backend_t;
+
+/* Heartbeats seen by a control instance, to the other ones.  */
+typedef struct
+{
+  str_t from;
+  list_t backends; /* backend_t */
+  bool whole;      /* all that it knows; asks for the receiver's in turn */
+} roster_t;
+
+/* What an entry instance saw of the primary of a service.  */
+typedef struct
+{
+  str_t service;
+  str_t id;
+  int64_t ok_age;   /* ms since an answer of it; -1: never */
+  int64_t fail_age; /* ms since it first failed without an answer after; -1:
+                       it works */
+} sight_t;
+
+typedef struct
+{
+  str_t name;
+  int64_t seq;     /* echoed in the news */
+  int64_t version; /* configuration in force; 0: none */
+  int64_t roster;  /* number of the roster last received */
+  int64_t boot;    /* ... and the start of the instance that numbered it */
+  list_t sights;   /* sight_t */
+} watch_t;
+
+typedef struct
+{
+  int64_t seq;
+  int64_t boot;
+  bool led;  /* the sender has a leader that a quorum follows */
+  bool warm; /* it has listened for longer than heartbeats last */
+  int64_t version;
+  str_t setup; /* MSG_SETUP, packed; empty when the receiver has it */
+  int64_t roster;
+  bool whole;      /* BACKENDS is the roster */
+  list_t backends; /* backend_t */
+  list_t control;  /* member_t: control instances */
+} news_t;
+
+typedef enum
+{
+  FLEET_SETUP = 0,  /* VERSION, SETUP, DOCUMENT */
+  FLEET_PROMOTE = 1 /* SERVICE, ID: intent; its index is the fencing token */
+} fleet_kind_t;
+
+typedef struct
+{
+  int64_t kind; /* fleet_kind_t */
+  int64_t version;
+  str_t setup;    /* MSG_SETUP, packed */
+  str_t document; /* the operator's bytes, read back as they came */
+  str_t service;
+  str_t id;
+} fleet_record_t;
+
+typedef struct
+{
+  int64_t version;
+  str_t setup;
+  str_t document;
+  int64_t intents; /* promotions decided so far */
+} fleet_state_t;
+
 /* ---- codec ---- */
 
 /* rpc_encode: appends the frame of message TYPE at MSG to OUT.  */
--- /dev/null
+++ b/lib/cell/cell.c
@@ -0,0 +1,168 @@
+#include "local.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static bool
+open_log (cell_t *c, err_t *e)
+{
+  raft_conf_t conf = { .name = c->conf.name };
+  const store_fs_t *fs;
+  void *arg;
+  raft_saved_t saved;
+  apr_pool_t *tmp;
+  int64_t id = (int64_t)(rng_u64 (&c->rng) >> 1) | 1;
+
+  if (!store_files (c->pool, str_dup (c->pool, c->conf.data).p, &fs, &arg, e))
+    return false;
+  apr_pool_create (&tmp, c->pool);
+  c->store = store_open (c->pool, tmp, fs, arg, id, &saved, e);
+  if (c->store)
+    c->raft = raft_new (c->pool, &conf, &cell_raft_ops, c, &saved, &c->rng,
+                        c->now, e);
+  if (c->raft)
+    log_event (EV_RAFT_IDENTITY, "id=%lld term=%lld snapshot=%lld entries=%zu",
+               (long long)saved.id, (long long)saved.term,
+               (long long)saved.snap.index, saved.entries.n);
+  apr_pool_destroy (tmp);
+  return c->raft != NULL;
+}
+
+cell_t *
+cell_new (apr_pool_t *pool, loop_t *l, const cell_conf_t *conf, err_t *e)
+{
+  cell_t *c = apr_pcalloc (pool, sizeof *c);
+
+  c->pool = pool;
+  c->loop = l;
+  c->conf = *conf;
+  c->now = c->started = loop_now (l);
+  c->role = RAFT_FOLLOWER;
+  c->boot = (int64_t)(rng_system_seed () >> 1);
+  rng_init (&c->rng, rng_system_seed ());
+  buf_init (&c->setup);
+  buf_init (&c->document);
+  cell_seeds (c, conf->seeds, conf->nseeds);
+  return open_log (c, e) && peers_listen (c, e) ? c : NULL;
+}
+
+bool
+cell_failed (const cell_t *c, err_t *e)
+{
+  if (c->failed && e)
+    *e = c->err;
+  return c->failed;
+}
+
+bool
+cell_led (const cell_t *c)
+{
+  if (raft_role (c->raft) == RAFT_LEADER)
+    return raft_leads (c->raft) && raft_quorum_at (c->raft) >= 0
+           && c->now - raft_quorum_at (c->raft) < RAFT_ELECTION_MAX;
+  return raft_leader (c->raft) != 0;
+}
+
+cell_status_t
+cell_beat (cell_t *c, const backend_t *b, err_t *e)
+{
+  err_t inner = { 0 };
+
+  c->now = loop_now (c->loop);
+  if (!cell_led (c))
+    return CELL_UNSURE;
+  if (!roster_beat (&c->roster, b, c->now, &inner) && inner.code != ERR_STALE)
+    {
+      if (e)
+        *e = inner;
+      return CELL_INVALID;
+    }
+  if (c->roster.number != c->gossip_number)
+    {
+      log_event (EV_BACKEND,
+                 "database=" STR_FMT " service=" STR_FMT
+                 " primary=%d leaving=%d gone=%d seq=%lld",
+                 STR_ARG (b->id), STR_ARG (b->service), b->primary, b->leaving,
+                 b->gone, (long long)b->seq);
+      news_spread (c);
+    }
+  return CELL_OK;
+}
+
+/* ---- changes of the consensus ---- */
+
+static void
+log_members (cell_t *c)
+{
+  const members_t *m = raft_member_list (c->raft);
+  buf_t b;
+
+  if (m == c->members)
+    return;
+  c->members = m;
+  buf_init (&b);
+  for (size_t i = 0; i < m->list.n; i++)
+    {
+      const member_t *x = LIST_AT (m->list, member_t, i);
+      buf_fmt (&b, "%s" STR_FMT "%s", i ? "," : "", STR_ARG (x->name),
+               x->voter ? "" : "(learner)");
+    }
+  log_event (EV_RAFT_MEMBERS, "members=" STR_FMT, STR_ARG (buf_str (&b)));
+  buf_free (&b);
+}
+
+static void
+log_role (cell_t *c)
+{
+  raft_role_t role = raft_role (c->raft);
+  int64_t term = raft_term (c->raft);
+  int64_t leader = raft_leader (c->raft);
+
+  if (role == c->role && term == c->term && leader == c->leader)
+    return;
+  c->role = role;
+  c->term = term;
+  c->leader = leader;
+  const member_t *l = raft_member (c->raft, leader);
+  log_event (EV_RAFT_ROLE, "role=%s term=%lld leader=" STR_FMT,
+             role == RAFT_LEADER ? "leader" : "follower", (long long)term,
+             STR_ARG (l ? l->name : STR ("-")));
+}
+
+static void
+catch_up (cell_t *c)
+{
+  while (!c->failed && raft_applied (c->raft) < raft_commit (c->raft))
+    if (!cell_step (c, raft_tick (c->raft, c->now, &c->err)))
+      return;
+}
+
+msec_t
+cell_turn (void *arg, msec_t now)
+{
+  cell_t *c = arg;
+
+  c->now = now;
+  if (c->failed)
+    return now;
+  if (now - c->ticked >= TICK)
+    {
+      c->ticked = now;
+      cell_step (c, raft_tick (c->raft, now, &c->err));
+      join_tick (c);
+      join_review (c);
+      peers_sweep (c);
+      takeovers_tick (c);
+      news_spread (c);
+    }
+  catch_up (c);
+  log_members (c);
+  log_role (c);
+  pending_review (c);
+  if (now - c->gossiped >= GOSSIP_EVERY)
+    {
+      roster_sweep (&c->roster, now);
+      gossip (c, true);
+    }
+  return c->failed ? now : c->ticked + TICK;
+}
--- /dev/null
+++ b/lib/cell/local.h
@@ -0,0 +1,170 @@
+/* Internals of a control instance.  */
+
+#ifndef CELL_LOCAL_H
+#define CELL_LOCAL_H
+
+#include "cell.h"
+
+enum
+{
+  TICK = 10,              /* ms between ticks of the replicated log */
+  PEERS = 32,             /* connections dialled to control instances */
+  REDIAL = 100,           /* ms between attempts to reach one */
+  DIAL_TIME = 500,        /* ms to reach one */
+  PEER_SILENT = 1000,     /* ms that one may owe an answer */
+  PEER_OUT_MAX = 4 << 20, /* bytes that wait for one */
+  HELLO_EVERY = 200,      /* ms between questions to the other instances */
+  HELLO_AGE = 1500,       /* ms that an answer counts */
+  GOSSIP_EVERY = 1000,    /* ms between whole rosters to the others */
+  READ_TIME = 900,        /* ms that a read may wait for its quorum */
+  SUBMIT_TIME = 2500,     /* ms that an order may wait for its quorum */
+  WARM = 5000,     /* ms after the start until all heartbeats were heard */
+  REPLACED = 2500, /* ms of silence of a member that another replaced */
+  PENDING = 64,    /* orders and reads at a time */
+  SERVICES = 256
+};
+
+typedef struct remote remote_t;
+
+/* A connection to or from another process.  */
+struct remote
+{
+  remote_t *next;
+  struct cell *cell;
+  stream_t *stream;
+  char address[64]; /* of one that this side dialled */
+  msec_t dialled;
+  msec_t asked; /* oldest question without an answer, -1 */
+  bool accepted;
+  /* Of an entry instance.  */
+  bool watcher;
+  int64_t seq;
+  int64_t version;
+  int64_t roster;
+  bool stale; /* news wait to be sent */
+  bool led;   /* as told last */
+};
+
+typedef struct
+{
+  char name[64];
+  char address[64];
+  int64_t id;
+  bool has_log;
+  msec_t at;
+} other_t;
+
+typedef struct
+{
+  other_t other[PEERS];
+  size_t n;
+  msec_t asked;
+} join_t;
+
+typedef struct
+{
+  int64_t ticket; /* 0: free */
+  bool read;
+  msec_t since;
+  int64_t index; /* of the record */
+  int64_t term;
+} pending_t;
+
+/* A connection of the leader to a database, for probes and positions.  */
+typedef struct probe
+{
+  struct probe *next;
+  struct cell *cell;
+  char id[FLEET_NAME];
+  char service[FLEET_NAME];
+  char address[FLEET_NAME];
+  stream_t *stream;
+  bool up;
+  int64_t born;
+  bool lead;   /* the primary: probed all the time */
+  bool survey; /* its position is wanted */
+  msec_t dialled;
+  msec_t asked; /* question under way, -1 */
+  msec_t next_at;
+  uint8_t want[8]; /* answers expected, oldest first */
+  int nwant;
+  fail_t fail;
+  bool row;
+  db_status_t status;
+} dbprobe_t;
+
+struct cell
+{
+  apr_pool_t *pool;
+  loop_t *loop;
+  cell_conf_t conf;
+  msec_t now;
+  msec_t started;
+  msec_t ticked;
+  msec_t gossiped;
+  msec_t swept;
+  int listener;
+  raft_t *raft;
+  store_t *store;
+  rng_t rng;
+  err_t err;
+  bool failed;
+  remote_t *remotes;
+  remote_t *reply; /* connection of the message being received */
+  join_t join;
+  /* What a joining or leaving of members was decided by.  */
+  int64_t voter[PEERS];
+  msec_t voter_since[PEERS];
+  msec_t heard[PEERS];
+  size_t nvoter;
+  /* The replicated state.  */
+  int64_t version;
+  buf_t setup;
+  buf_t document;
+  int64_t intents;
+  pending_t pending[PENDING];
+  /* The rest.  */
+  int64_t boot;
+  roster_table_t roster;
+  int64_t gossip_number;
+  raft_role_t role;
+  int64_t term;
+  int64_t leader;
+  const members_t *members;
+  takeover_t take[SERVICES];
+  size_t ntake;
+  dbprobe_t *probes;
+  counter_t *gauge[5];
+};
+
+/* peers.c */
+bool peers_listen (cell_t *c, err_t *e);
+void peers_send (cell_t *c, str_t address, msgtype_t type, const void *msg,
+                 bool asks);
+void peers_answer (cell_t *c, remote_t *to, msgtype_t type, const void *msg);
+void peers_sweep (cell_t *c);
+/* message.c */
+void cell_message (cell_t *c, remote_t *from, msgtype_t type, void *msg);
+/* join.c */
+void join_tick (cell_t *c);
+void join_answer (cell_t *c, const hello_resp_t *m);
+void join_ask (cell_t *c, const hello_t *m, hello_resp_t *out);
+void join_review (cell_t *c);
+/* state.c */
+extern const raft_ops_t cell_raft_ops;
+bool cell_step (cell_t *c, bool ok);
+void pending_review (cell_t *c);
+void pending_fail (cell_t *c);
+/* news.c */
+void news_send (cell_t *c, remote_t *r);
+void news_spread (cell_t *c);
+void gossip (cell_t *c, bool whole);
+/* probe.c */
+void probes_tick (cell_t *c);
+void probes_stop (cell_t *c);
+void probe_survey (cell_t *c, const char *service);
+/* takeover.c */
+void takeovers_tick (cell_t *c);
+takeover_t *takeover_of (cell_t *c, str_t service);
+
+#endif
--- /dev/null
+++ b/lib/cell/peers.c
@@ -0,0 +1,207 @@
+#include "local.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+static void remote_open (void *arg);
+static void remote_input (void *arg);
+static void remote_closed (void *arg, err_t *e);
+static const stream_ops_t remote_ops
+    = { remote_open, remote_input, remote_closed };
+
+static remote_t *
+remote_new (cell_t *c)
+{
+  remote_t *r = calloc (1, sizeof *r);
+
+  if (r == NULL)
+    abort ();
+  r->cell = c;
+  r->asked = -1;
+  r->roster = -1;
+  r->next = c->remotes;
+  c->remotes = r;
+  return r;
+}
+
+static void
+remote_free (remote_t *r)
+{
+  cell_t *c = r->cell;
+  remote_t **at = &c->remotes;
+
+  if (c->reply == r)
+    c->reply = NULL;
+  while (*at != r)
+    at = &(*at)->next;
+  *at = r->next;
+  free (r);
+}
+
+/* Peers that were dialled keep their place, for the time of the attempt.  */
+static void
+drop (remote_t *r)
+{
+  if (r->cell->reply == r)
+    r->cell->reply = NULL;
+  r->stream = NULL;
+  r->asked = -1;
+  if (r->accepted)
+    remote_free (r);
+}
+
+static void
+hang_up (remote_t *r)
+{
+  stream_close (r->stream);
+  drop (r);
+}
+
+static void
+remote_open (void *arg)
+{
+  (void)arg;
+}
+
+static void
+remote_closed (void *arg, err_t *e)
+{
+  (void)e;
+  drop (arg);
+}
+
+static void
+remote_input (void *arg)
+{
+  remote_t *r = arg;
+  cell_t *c = r->cell;
+  str_t body;
+  err_t e = { 0 };
+  char line[256];
+  int got = 0;
+
+  c->now = loop_now (c->loop);
+  r->asked = -1;
+  while ((got = rpc_frame (stream_in (r->stream), &body, &e)) > 0)
+    {
+      apr_pool_t *pool;
+      msgtype_t type;
+      apr_pool_create (&pool, c->pool);
+      void *msg = rpc_decode (pool, body, &type, &e);
+      c->reply = r;
+      if (msg)
+        cell_message (c, r, type, msg);
+      bool gone = c->reply == NULL;
+      c->reply = NULL;
+      apr_pool_destroy (pool);
+      if (gone)
+        return;
+      buf_take (stream_in (r->stream), body.n + 4);
+      if (msg == NULL)
+        {
+          got = -1;
+          break;
+        }
+    }
+  if (got < 0)
+    {
+      err_line (&e, line, sizeof line);
+      log_event (EV_FRAME_REFUSED, "cause=%s", line);
+      hang_up (r);
+    }
+}
+
+static void
+on_peer (void *arg, uint32_t events)
+{
+  cell_t *c = arg;
+
+  (void)events;
+  for (;;)
+    {
+      int fd = accept4 (c->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        return;
+      remote_t *r = remote_new (c);
+      r->accepted = true;
+      r->stream = stream_accept (c->loop, fd, &remote_ops, r);
+    }
+}
+
+bool
+peers_listen (cell_t *c, err_t *e)
+{
+  c->listener = rpc_listen (c->conf.address, e);
+  return c->listener >= 0 && loop_watch (c->loop, c->listener, on_peer, c, e);
+}
+
+static remote_t *
+by_address (cell_t *c, str_t address)
+{
+  err_t e = { 0 };
+  remote_t *r = c->remotes;
+
+  while (r && !str_eq (str_of (r->address), address))
+    r = r->next;
+  if (r == NULL)
+    {
+      r = remote_new (c);
+      snprintf (r->address, sizeof r->address, STR_FMT, STR_ARG (address));
+      r->dialled = c->now - REDIAL;
+    }
+  if (r->stream == NULL && c->now - r->dialled >= REDIAL)
+    {
+      r->dialled = c->now;
+      r->stream
+          = stream_dial (c->loop, address, PEER_SILENT, &remote_ops, r, &e);
+    }
+  return r->stream ? r : NULL;
+}
+
+void
+peers_send (cell_t *c, str_t address, msgtype_t type, const void *msg,
+            bool asks)
+{
+  remote_t *r = by_address (c, address);
+
+  if (r == NULL || buf_len (stream_out (r->stream)) > PEER_OUT_MAX)
+    return;
+  rpc_encode (stream_out (r->stream), type, msg);
+  stream_flush (r->stream);
+  if (asks && r->asked < 0)
+    r->asked = c->now;
+}
+
+void
+peers_answer (cell_t *c, remote_t *to, msgtype_t type, const void *msg)
+{
+  (void)c;
+  if (to == NULL || to->stream == NULL)
+    return;
+  rpc_encode (stream_out (to->stream), type, msg);
+  stream_flush (to->stream);
+}
+
+/* A peer that is stopped or behind a silent connection keeps the connection
+   open; a new one may work.  */
+void
+peers_sweep (cell_t *c)
+{
+  remote_t *next;
+
+  for (remote_t *r = c->remotes; r; r = next)
+    {
+      next = r->next;
+      if (r->stream == NULL || r->accepted)
+        continue;
+      bool dialling = !stream_up (r->stream);
+      if ((dialling && c->now - r->dialled > DIAL_TIME)
+          || (!dialling && r->asked >= 0 && c->now - r->asked > PEER_SILENT))
+        {
+          log_event (EV_PEER_SILENT, "address=%s", r->address);
+          hang_up (r);
+        }
+    }
+}
--- /dev/null
+++ b/lib/cell/state.c
@@ -0,0 +1,279 @@
+#include "local.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* False, and the instance stops, when the store failed.  */
+bool
+cell_step (cell_t *c, bool ok)
+{
+  if (!ok && !c->failed)
+    {
+      char line[256];
+      c->failed = true;
+      err_line (&c->err, line, sizeof line);
+      log_event (EV_RAFT_STOPPED, "cause=%s", line);
+      loop_stop (c->loop);
+    }
+  return ok;
+}
+
+static void
+ops_send (void *arg, int64_t to, msgtype_t type, const void *msg)
+{
+  cell_t *c = arg;
+
+  if (type == MSG_VOTE_RESP || type == MSG_APPEND_RESP
+      || type == MSG_SNAP_RESP)
+    {
+      peers_answer (c, c->reply, type, msg);
+      return;
+    }
+  const member_t *m = raft_member (c->raft, to);
+  if (m)
+    peers_send (c, m->address, type, msg, true);
+}
+
+static bool
+ops_vote (void *arg, int64_t term, int64_t vote, err_t *e)
+{
+  return store_vote (((cell_t *)arg)->store, term, vote, e);
+}
+
+static bool
+ops_entries (void *arg, const log_entry_t *v, size_t n, err_t *e)
+{
+  return store_entries (((cell_t *)arg)->store, v, n, e);
+}
+
+static bool
+ops_snapshot (void *arg, const raft_snap_t *s, err_t *e)
+{
+  return store_snapshot (((cell_t *)arg)->store, s, e);
+}
+
+static bool
+ops_install (void *arg, const raft_snap_t *s, err_t *e)
+{
+  return store_install (((cell_t *)arg)->store, s, e);
+}
+
+static void
+put (buf_t *b, str_t s)
+{
+  b->n = b->off = 0;
+  buf_adds (b, s);
+}
+
+static void
+take_setup (cell_t *c, int64_t version, str_t setup, str_t document)
+{
+  if (version <= c->version)
+    return;
+  log_event (EV_SETUP_ACCEPTED, "version=%lld before=%lld bytes=%zu",
+             (long long)version, (long long)c->version, document.n);
+  c->version = version;
+  put (&c->setup, setup);
+  put (&c->document, document);
+}
+
+static void
+take_intent (cell_t *c, const fleet_record_t *r, int64_t index)
+{
+  takeover_t *t;
+
+  c->intents++;
+  log_event (EV_PROMOTE_INTENT,
+             "service=" STR_FMT " database=" STR_FMT " token=%lld",
+             STR_ARG (r->service), STR_ARG (r->id), (long long)index);
+  if (raft_leads (c->raft) && (t = takeover_of (c, r->service)) != NULL)
+    takeover_recorded (t, r->id, index, c->now);
+}
+
+static void
+ops_apply (void *arg, const log_entry_t *v)
+{
+  cell_t *c = arg;
+  apr_pool_t *pool;
+  msgtype_t type;
+  err_t e = { 0 };
+
+  if (v->kind != ENTRY_RECORD)
+    return;
+  apr_pool_create (&pool, c->pool);
+  const fleet_record_t *r = rpc_decode (pool, v->data, &type, &e);
+  if (r == NULL || type != MSG_FLEET_RECORD)
+    log_event (EV_RECORD_REFUSED, "index=%lld cause=%s", (long long)v->index,
+               err_name (e.code));
+  else if (r->kind == FLEET_SETUP)
+    take_setup (c, r->version, r->setup, r->document);
+  else
+    take_intent (c, r, v->index);
+  apr_pool_destroy (pool);
+}
+
+static void
+ops_state (void *arg, buf_t *out)
+{
+  const cell_t *c = arg;
+  fleet_state_t s = { .version = c->version,
+                      .setup = buf_str (&c->setup),
+                      .document = buf_str (&c->document),
+                      .intents = c->intents };
+
+  rpc_pack (out, MSG_FLEET_STATE, &s);
+}
+
+static bool
+ops_restore (void *arg, const raft_snap_t *snap, err_t *e)
+{
+  cell_t *c = arg;
+  apr_pool_t *pool;
+  msgtype_t type = MSG_FLEET_STATE;
+
+  apr_pool_create (&pool, c->pool);
+  const fleet_state_t *s = rpc_decode (pool, snap->data, &type, e);
+  bool ok = s && type == MSG_FLEET_STATE;
+  if (ok)
+    {
+      c->version = s->version;
+      c->intents = s->intents;
+      put (&c->setup, s->setup);
+      put (&c->document, s->document);
+    }
+  else
+    err_set (e, ERR_CORRUPT, "snapshot", "no state of a fleet");
+  apr_pool_destroy (pool);
+  return ok;
+}
+
+const raft_ops_t cell_raft_ops
+    = { ops_send,    ops_vote,  ops_entries, ops_snapshot,
+        ops_install, ops_apply, ops_state,   ops_restore };
+
+/* ---- orders and reads that wait ---- */
+
+static void
+answer (cell_t *c, int64_t ticket, cell_status_t status)
+{
+  cell_answer_t a = { .status = status };
+  const member_t *m = raft_member (c->raft, raft_leader (c->raft));
+
+  if (status == CELL_ELSEWHERE && m && m->id != raft_id (c->raft))
+    snprintf (a.address, sizeof a.address, STR_FMT, STR_ARG (m->address));
+  else if (status == CELL_ELSEWHERE)
+    a.status = CELL_UNSURE;
+  if (status == CELL_OK)
+    a.document = buf_str (&c->document);
+  c->conf.ops.answer (c->conf.ops.arg, ticket, &a);
+}
+
+static pending_t *
+pending_new (cell_t *c, int64_t ticket)
+{
+  for (int i = 0; i < PENDING; i++)
+    if (c->pending[i].ticket == 0)
+      {
+        c->pending[i] = (pending_t){ .ticket = ticket, .since = c->now };
+        return &c->pending[i];
+      }
+  return NULL;
+}
+
+static void
+finish (cell_t *c, pending_t *p, cell_status_t status)
+{
+  int64_t ticket = p->ticket;
+
+  p->ticket = 0;
+  answer (c, ticket, status);
+}
+
+static void
+review_one (cell_t *c, pending_t *p)
+{
+  msec_t limit = p->read ? READ_TIME : SUBMIT_TIME;
+
+  if (!raft_leads (c->raft) || raft_term (c->raft) != p->term)
+    finish (c, p, CELL_UNSURE);
+  else if (p->read && raft_quorum_at (c->raft) > p->since
+           && raft_applied (c->raft) >= p->index)
+    finish (c, p, c->version ? CELL_OK : CELL_UNSURE);
+  else if (!p->read && raft_applied (c->raft) >= p->index)
+    finish (c, p, CELL_OK);
+  else if (c->now - p->since > limit)
+    finish (c, p, CELL_UNSURE);
+}
+
+void
+pending_review (cell_t *c)
+{
+  for (int i = 0; i < PENDING; i++)
+    if (c->pending[i].ticket)
+      review_one (c, &c->pending[i]);
+}
+
+void
+cell_submit (cell_t *c, int64_t version, str_t setup, str_t document,
+             int64_t ticket)
+{
+  fleet_record_t r = { .kind = FLEET_SETUP,
+                       .version = version,
+                       .setup = setup,
+                       .document = document };
+  err_t e = { 0 };
+  buf_t b;
+
+  c->now = loop_now (c->loop);
+  if (!raft_leads (c->raft))
+    {
+      answer (c, ticket, CELL_ELSEWHERE);
+      return;
+    }
+  if (version <= c->version)
+    {
+      answer (c, ticket, CELL_OK);
+      return;
+    }
+  pending_t *p = pending_new (c, ticket);
+  if (p == NULL)
+    {
+      answer (c, ticket, CELL_UNSURE);
+      return;
+    }
+  p->term = raft_term (c->raft);
+  buf_init (&b);
+  rpc_pack (&b, MSG_FLEET_RECORD, &r);
+  bool ok = raft_propose (c->raft, buf_str (&b), c->now, &p->index, &e);
+  buf_free (&b);
+  if (ok)
+    return;
+  finish (c, p, CELL_UNSURE);
+  if (e.code != ERR_NOT_LEADER && e.code != ERR_FULL
+      && e.code != ERR_TOO_LARGE)
+    {
+      c->err = e;
+      cell_step (c, false);
+    }
+}
+
+void
+cell_read (cell_t *c, int64_t ticket)
+{
+  pending_t *p;
+
+  c->now = loop_now (c->loop);
+  if (!raft_leads (c->raft))
+    {
+      answer (c, ticket, CELL_ELSEWHERE);
+      return;
+    }
+  if ((p = pending_new (c, ticket)) == NULL)
+    {
+      answer (c, ticket, CELL_UNSURE);
+      return;
+    }
+  p->read = true;
+  p->term = raft_term (c->raft);
+  p->index = raft_commit (c->raft);
+}
--- /dev/null
+++ b/lib/httpd/httpd.c
@@ -0,0 +1,188 @@
+#include "httpd.h"
+#include "rpc.h"
+
+#include <microhttpd.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+enum
+{
+  CONNECTIONS = 256,
+  IDLE = 15,              /* s until a silent connection is closed */
+  CONN_MEMORY = 16 << 10, /* bytes */
+  STACK = 128 << 10       /* bytes of the thread */
+};
+
+struct httpd
+{
+  struct MHD_Daemon *daemon;
+  ring_t *in;
+  httpd_ops_t ops;
+};
+
+static httpd_req_t *
+req_new (httpd_t *h, struct MHD_Connection *c, const char *method,
+         const char *path)
+{
+  httpd_req_t *r = calloc (1, sizeof *r);
+
+  if (r == NULL)
+    return NULL;
+  r->server = h;
+  r->conn = c;
+  int n = snprintf (r->line, sizeof r->line, "%s", method);
+  n = n < 32 ? n : 31;
+  r->line[n] = '\0';
+  r->method = r->line;
+  snprintf (r->line + n + 1, sizeof r->line - (size_t)n - 1, "%s", path);
+  r->path = r->line + n + 1;
+  buf_init (&r->body);
+  buf_init (&r->reply);
+  return r;
+}
+
+void
+httpd_reply (httpd_req_t *r, unsigned status, str_t type, str_t body)
+{
+  r->status = status;
+  r->type = type;
+  buf_adds (&r->reply, body);
+}
+
+static enum MHD_Result
+respond (httpd_req_t *r)
+{
+  struct MHD_Response *m = MHD_create_response_from_buffer (
+      buf_len (&r->reply), r->reply.p ? r->reply.p : "",
+      MHD_RESPMEM_MUST_COPY);
+
+  if (m == NULL)
+    return MHD_NO;
+  if (r->type.n)
+    MHD_add_response_header (m, "Content-Type", r->type.p);
+  if (r->location.n)
+    MHD_add_response_header (m, "Location", r->location.p);
+  enum MHD_Result ok = MHD_queue_response (r->conn, r->status, m);
+  MHD_destroy_response (m);
+  return ok;
+}
+
+static enum MHD_Result
+dispatch (httpd_req_t *r)
+{
+  httpd_t *h = r->server;
+
+  if (r->too_large)
+    httpd_reply (r, MHD_HTTP_CONTENT_TOO_LARGE, (str_t){ 0 }, (str_t){ 0 });
+  else if (h->ops.quick == NULL || !h->ops.quick (h->ops.arg, r))
+    {
+      r->queued = true;
+      MHD_suspend_connection (r->conn);
+      if (h->in && ring_put (h->in, r, NULL))
+        return MHD_YES;
+      MHD_resume_connection (r->conn);
+      httpd_reply (r, MHD_HTTP_SERVICE_UNAVAILABLE, (str_t){ 0 },
+                   (str_t){ 0 });
+      r->done = true;
+      return MHD_YES;
+    }
+  return respond (r);
+}
+
+static enum MHD_Result
+serve (void *arg, struct MHD_Connection *c, const char *url,
+       const char *method, const char *version, const char *data, size_t *n,
+       void **state)
+{
+  httpd_req_t *r = *state;
+
+  (void)version;
+  if (r == NULL)
+    {
+      *state = req_new (arg, c, method, url);
+      return *state ? MHD_YES : MHD_NO;
+    }
+  if (*n)
+    {
+      if (r->body.n + *n > HTTPD_BODY_MAX)
+        r->too_large = true;
+      else
+        buf_add (&r->body, data, *n);
+      *n = 0;
+      return MHD_YES;
+    }
+  if (r->queued)
+    return r->done ? respond (r) : MHD_YES;
+  return dispatch (r);
+}
+
+static void
+finished (void *arg, struct MHD_Connection *c, void **state,
+          enum MHD_RequestTerminationCode why)
+{
+  httpd_req_t *r = *state;
+
+  (void)arg;
+  (void)c;
+  (void)why;
+  if (r == NULL)
+    return;
+  buf_free (&r->body);
+  buf_free (&r->reply);
+  free (r->location.p);
+  free (r);
+  *state = NULL;
+}
+
+void
+httpd_answer (httpd_req_t *r, unsigned status, str_t type, str_t location,
+              str_t body)
+{
+  httpd_reply (r, status, type, body);
+  if (location.n && (r->location.p = malloc (location.n + 1)) != NULL)
+    {
+      memcpy (r->location.p, location.p, location.n);
+      r->location.p[location.n] = '\0';
+      r->location.n = location.n;
+    }
+  struct MHD_Connection *c = r->conn;
+  r->done = true;
+  MHD_resume_connection (c);
+}
+
+static apr_status_t
+httpd_free (void *arg)
+{
+  MHD_quiesce_daemon (((httpd_t *)arg)->daemon);
+  return APR_SUCCESS;
+}
+
+httpd_t *
+httpd_new (apr_pool_t *pool, str_t address, ring_t *in, const httpd_ops_t *ops,
+           err_t *e)
+{
+  httpd_t *h = apr_pcalloc (pool, sizeof *h);
+  int fd = rpc_listen (address, e);
+
+  if (fd < 0)
+    return NULL;
+  h->in = in;
+  h->ops = *ops;
+  h->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      serve, h, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONN_MEMORY,
+      MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK, MHD_OPTION_NOTIFY_COMPLETED,
+      finished, h, MHD_OPTION_END);
+  if (h->daemon == NULL)
+    {
+      close (fd);
+      err_set (e, ERR_SYS, "http", "the HTTP server does not start");
+      return NULL;
+    }
+  apr_pool_cleanup_register (pool, h, httpd_free, apr_pool_cleanup_null);
+  return h;
+}
--- /dev/null
+++ b/lib/loop/loop.c
@@ -0,0 +1,104 @@
+#include "local.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+enum
+{
+  EVENTS = 64
+};
+
+static apr_status_t
+loop_free (void *arg)
+{
+  close (((loop_t *)arg)->poll);
+  return APR_SUCCESS;
+}
+
+loop_t *
+loop_new (apr_pool_t *pool, err_t *e)
+{
+  loop_t *l = apr_pcalloc (pool, sizeof *l);
+
+  l->now = msec_now ();
+  l->poll = epoll_create1 (EPOLL_CLOEXEC);
+  if (l->poll < 0)
+    {
+      err_sys (e, "loop", "epoll_create1");
+      return NULL;
+    }
+  apr_pool_cleanup_register (pool, l, loop_free, apr_pool_cleanup_null);
+  return l;
+}
+
+bool
+loop_watch (loop_t *l, int fd, loop_fn_t fn, void *arg, err_t *e)
+{
+  watched_t *w = calloc (1, sizeof *w);
+  struct epoll_event ev = { .events = EPOLLIN, .data.ptr = w };
+
+  if (w == NULL)
+    return err_set (e, ERR_NOMEM, "loop", "no memory for a watch");
+  *w = (watched_t){ fd, fn, arg };
+  return epoll_ctl (l->poll, EPOLL_CTL_ADD, fd, &ev) == 0
+         || err_sys (e, "loop", "epoll_ctl");
+}
+
+msec_t
+loop_now (const loop_t *l)
+{
+  return l->now;
+}
+
+void
+loop_stop (loop_t *l)
+{
+  l->stopping = true;
+}
+
+static void
+finish_turn (loop_t *l)
+{
+  stream_t *s;
+
+  while ((s = l->dirty) != NULL)
+    {
+      l->dirty = s->next_dirty;
+      s->dirty = false;
+      if (!s->dead)
+        stream_send (s);
+    }
+  while ((s = l->dead) != NULL)
+    {
+      l->dead = s->next_dead;
+      stream_bury (s);
+    }
+}
+
+bool
+loop_run (loop_t *l, msec_t (*turn) (void *arg, msec_t now), void *arg,
+          err_t *e)
+{
+  struct epoll_event ev[EVENTS];
+  msec_t wake = l->now;
+
+  while (!l->stopping)
+    {
+      msec_t wait = wake < 0 ? -1 : wake - msec_now ();
+      int n = epoll_wait (l->poll, ev, EVENTS,
+                          wake >= 0 && wait < 0 ? 0 : (int)wait);
+      if (n < 0 && errno != EINTR)
+        return err_sys (e, "loop", "epoll_wait");
+      l->now = msec_now ();
+      for (int i = 0; i < n; i++)
+        {
+          watched_t *w = ev[i].data.ptr;
+          w->fn (w->arg, ev[i].events);
+        }
+      wake = turn (arg, l->now);
+      finish_turn (l);
+    }
+  return true;
+}
--- /dev/null
+++ b/lib/proxy/fleet.c
@@ -0,0 +1,281 @@
+#include "local.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  LEAVING_LEADS = 5000 /* ms that a leaving primary still gets work while no
+                          other leads */
+};
+
+service_t *
+service_find (proxy_t *p, const char *name)
+{
+  for (service_t *s = p->services; s; s = s->next)
+    if (strcmp (s->name, name) == 0)
+      return s;
+  return NULL;
+}
+
+service_t *
+service_get (proxy_t *p, str_t name)
+{
+  char key[NAME_LEN];
+
+  snprintf (key, sizeof key, STR_FMT, STR_ARG (name));
+  service_t *s = service_find (p, key);
+  if (s)
+    return s;
+  s = apr_pcalloc (p->pool, sizeof *s);
+  snprintf (s->name, sizeof s->name, "%s", key);
+  s->connections = 8;
+  s->next = p->services;
+  p->services = s;
+  return s;
+}
+
+const route_entry_t *
+route_find (proxy_t *p, const char *host)
+{
+  return p->routes ? apr_hash_get (p->routes, host, APR_HASH_KEY_STRING)
+                   : NULL;
+}
+
+/* ---- who leads ---- */
+
+static bool
+may_lead (const db_t *d, msec_t now)
+{
+  return !d->gone && d->not_lead <= now && d->avoid <= now;
+}
+
+db_t *
+lead_pick (service_t *s, msec_t now)
+{
+  db_t *best = NULL;
+
+  if (s->leader && may_lead (s->leader, now))
+    return s->leader;
+  for (db_t *d = s->dbs; d; d = d->next)
+    if (d->primary && may_lead (d, now)
+        && (best == NULL || d->leaving < best->leaving))
+      best = d;
+  return best;
+}
+
+void
+lead_learned (service_t *s, db_t *d)
+{
+  d->not_lead = 0;
+  if (s->leader == d)
+    return;
+  log_event (EV_LEADER, "service=%s database=%s before=%s", s->name, d->id,
+             s->leader ? s->leader->id : "-");
+  s->leader = d;
+}
+
+void
+lead_refused (service_t *s, db_t *d, msec_t now)
+{
+  d->not_lead = now + LEAD_RETRY;
+  if (s->leader == d)
+    s->leader = NULL;
+}
+
+void
+db_ok (db_t *d, msec_t now)
+{
+  d->ok_at = now;
+  d->fail_at = -1;
+  d->avoid_for = 0;
+  d->avoid = 0;
+}
+
+void
+db_failed (proxy_t *p, db_t *d, msec_t now)
+{
+  if (d->fail_at < 0)
+    d->fail_at = now;
+  d->avoid_for = d->avoid_for ? 2 * d->avoid_for : AVOID_FIRST;
+  if (d->avoid_for > AVOID_MAX)
+    d->avoid_for = AVOID_MAX;
+  d->avoid = now + d->avoid_for;
+  p->watch.urgent = true;
+}
+
+/* ---- news of control ---- */
+
+static db_t *
+db_find (service_t *s, str_t id)
+{
+  for (db_t *d = s->dbs; d; d = d->next)
+    if (str_eq (str_of (d->id), id))
+      return d;
+  return NULL;
+}
+
+static db_t *
+db_new (service_t *s, str_t id)
+{
+  db_t *d = calloc (1, sizeof *d);
+
+  if (d == NULL)
+    abort ();
+  d->service = s;
+  d->ok_at = d->fail_at = -1;
+  snprintf (d->id, sizeof d->id, STR_FMT, STR_ARG (id));
+  d->next = s->dbs;
+  s->dbs = d;
+  return d;
+}
+
+/* A new start under the same id knows nothing of its connections.  */
+static void
+reborn (proxy_t *p, db_t *d, const backend_t *b)
+{
+  links_close_idle (p, d);
+  d->primary = d->leaving = d->gone = false;
+  d->ms = 0;
+  d->fail_at = d->ok_at = -1;
+  d->avoid = d->avoid_for = d->full_at = 0;
+  d->born = b->born;
+  d->seq = -1;
+  if (d->service->leader == d)
+    d->service->leader = NULL;
+}
+
+static void
+db_update (proxy_t *p, const backend_t *b)
+{
+  service_t *s = service_get (p, b->service);
+  db_t *d = db_find (s, b->id);
+
+  if (d && b->born < d->born)
+    return;
+  if (d == NULL && b->gone)
+    return;
+  if (d == NULL)
+    d = db_new (s, b->id);
+  if (b->born > d->born)
+    reborn (p, d, b);
+  if (b->seq < d->seq)
+    return;
+  snprintf (d->address, sizeof d->address, STR_FMT, STR_ARG (b->address));
+  snprintf (d->zone, sizeof d->zone, STR_FMT, STR_ARG (b->zone));
+  if (d->leaving != b->leaving || d->gone != b->gone
+      || d->primary != b->primary || d->seq < 0)
+    log_event (EV_DATABASE,
+               "database=%s service=%s primary=%d leaving=%d gone=%d seq=%lld "
+               "age=%lld",
+               d->id, s->name, b->primary, b->leaving, b->gone,
+               (long long)b->seq, (long long)b->age);
+  if (b->primary && !d->primary && !b->leaving)
+    {
+      d->not_lead = 0;
+      s->leader = d;
+    }
+  if (!b->primary && d->primary && s->leader == d)
+    s->leader = NULL;
+  d->seq = b->seq;
+  d->primary = b->primary;
+  d->leaving = b->leaving;
+  d->gone = b->gone;
+  if (d->leaving || d->gone)
+    links_close_idle (p, d);
+}
+
+static void
+free_gone (service_t *s)
+{
+  db_t **at = &s->dbs;
+
+  while (*at)
+    {
+      db_t *d = *at;
+      if (!d->gone || d->links)
+        {
+          at = &d->next;
+          continue;
+        }
+      *at = d->next;
+      if (s->leader == d)
+        s->leader = NULL;
+      free (d);
+    }
+}
+
+/* A whole roster of an instance that has listened for long enough: what it
+   does not name has left.  */
+static void
+drop_absent (proxy_t *p, const news_t *n)
+{
+  for (service_t *s = p->services; s; s = s->next)
+    for (db_t *d = s->dbs; d; d = d->next)
+      {
+        bool named = false;
+        for (size_t i = 0; i < n->backends.n && !named; i++)
+          {
+            const backend_t *b = LIST_AT (n->backends, backend_t, i);
+            named = str_eq (b->id, str_of (d->id));
+          }
+        if (!named && !d->gone)
+          {
+            log_event (EV_DATABASE, "database=%s service=%s gone=1 named=0",
+                       d->id, s->name);
+            d->gone = true;
+            links_close_idle (p, d);
+          }
+      }
+}
+
+static void
+take_setup (proxy_t *p, str_t packed)
+{
+  apr_pool_t *pool;
+  msgtype_t type;
+  err_t e = { 0 };
+
+  apr_pool_create (&pool, p->pool);
+  setup_t *n = rpc_decode (pool, packed, &type, &e);
+  if (n == NULL || type != MSG_SETUP
+      || (p->setup && n->version <= p->setup->version))
+    {
+      apr_pool_destroy (pool);
+      return;
+    }
+  if (p->setup_pool)
+    apr_pool_destroy (p->setup_pool);
+  p->setup_pool = pool;
+  p->setup = n;
+  p->routes = apr_hash_make (pool);
+  for (size_t i = 0; i < n->routes.n; i++)
+    {
+      route_entry_t *r = LIST_AT (n->routes, route_entry_t, i);
+      apr_hash_set (p->routes, r->host.p, (apr_ssize_t)r->host.n, r);
+    }
+  for (size_t i = 0; i < n->services.n; i++)
+    {
+      const service_entry_t *x = LIST_AT (n->services, service_entry_t, i);
+      service_get (p, x->name)->connections = (int)x->connections;
+    }
+  log_event (EV_SETUP, "version=%lld routes=%zu", (long long)n->version,
+             n->routes.n);
+}
+
+void
+fleet_news (proxy_t *p, const news_t *n)
+{
+  if (n->setup.n)
+    take_setup (p, n->setup);
+  for (size_t i = 0; i < n->backends.n; i++)
+    db_update (p, LIST_AT (n->backends, backend_t, i));
+  if (n->whole && n->warm)
+    drop_absent (p, n);
+  for (service_t *s = p->services; s; s = s->next)
+    {
+      free_gone (s);
+      request_pump (p, s);
+    }
+}
--- /dev/null
+++ b/lib/proxy/local.h
@@ -0,0 +1,296 @@
+/* Internals of the proxy.  */
+
+#ifndef PROXY_LOCAL_H
+#define PROXY_LOCAL_H
+
+#include "proxy.h"
+
+#include <apr_hash.h>
+#include <signal.h>
+#include <stdatomic.h>
+
+enum
+{
+  NAME_LEN = 64,         /* bytes of names of services, databases and zones */
+  SITES_MAX = 16,        /* databases of one service */
+  STEPS_MAX = 48,        /* operations in flight on one connection */
+  CONNECT_TIME = 700,    /* ms to open a connection to a database */
+  SILENCE = 3000,        /* ms without acknowledgement ends a connection */
+  IDLE_KEEP = 8000,      /* ms that an unused connection is kept */
+  IDLE_KEEP_SHORT = 300, /* the same while a database has no room for more */
+  AVOID_FIRST = 100,     /* ms that a failing database is avoided */
+  AVOID_MAX = 1000,
+  LEAD_RETRY = 150,      /* ms until a database that does not lead is asked
+                            again */
+  WATCH_EVERY = 300,     /* ms between reports to control */
+  WATCH_LOST = 1200,     /* ms without news: another control instance */
+  NOT_READY_TIME = 2200, /* ms after SIGTERM until sessions are closed; the
+                            balancer needs two probes a second apart */
+  STOP_MARGIN = 400      /* ms before the end of the grace period */
+};
+
+typedef struct db db_t;
+typedef struct service service_t;
+typedef struct session session_t;
+typedef struct link link_t;
+
+/* ---- session state that has to be the same on the connection ---- */
+
+typedef struct
+{
+  char *name;
+  char *value;
+} value_t;
+
+typedef struct
+{
+  value_t *at;
+  int n;
+  int cap;
+} values_t;
+
+void values_set (values_t *v, str_t name, str_t value);
+const char *values_get (const values_t *v, const char *name);
+bool values_drop (values_t *v, str_t name);
+/* values_cover: every value of WANT is in V, and V has no other name.  */
+bool values_equal (const values_t *v, const values_t *want);
+void values_free (values_t *v);
+
+/* ---- connections to databases ---- */
+
+typedef enum
+{
+  STEP_START,
+  STEP_RESET,
+  STEP_SET,
+  STEP_PREPARE,
+  STEP_MARK,    /* BEGIN that only proves leadership */
+  STEP_UNMARK,  /* and its ROLLBACK */
+  STEP_BEGIN,   /* of the client's transaction */
+  STEP_OP,      /* the client's statement */
+  STEP_ROLLBACK /* of the client's transaction */
+} step_t;
+
+typedef enum
+{
+  LINK_OPENING,
+  LINK_IDLE,
+  LINK_BUSY
+} link_state_t;
+
+struct link
+{
+  link_t *next; /* of the database */
+  db_t *db;
+  stream_t *stream;
+  link_state_t state;
+  session_t *owner; /* NULL while it finishes for a session that is gone */
+  uint8_t step[STEPS_MAX];
+  int first;
+  int nstep;
+  msec_t since;  /* of the state */
+  msec_t sent;   /* when the oldest outstanding step was sent */
+  msec_t marked; /* when STEP_MARK or STEP_BEGIN was sent */
+  bool in_tx;
+  bool prep_ok; /* all steps before STEP_OP succeeded */
+  bool mark_ok;
+  bool closing;
+  values_t values;
+  values_t prepared; /* names on the connection; the value is empty */
+  /* The answer being received.  */
+  buf_t rows; /* length-prefixed rows of STEP_OP */
+  buf_t text; /* signature or error */
+  fail_t fail;
+  bool done;
+};
+
+struct db
+{
+  db_t *next; /* of the service */
+  service_t *service;
+  char id[NAME_LEN];
+  char address[NAME_LEN];
+  char zone[NAME_LEN];
+  int64_t born;
+  int64_t seq;
+  bool primary; /* as control heard */
+  bool leaving;
+  bool gone;
+  link_t *links;
+  int idle;
+  int opening;
+  int open; /* idle and busy */
+  double ms;
+  msec_t avoid;
+  msec_t avoid_for;
+  msec_t not_lead; /* does not lead before this time */
+  msec_t ok_at;    /* last answer, -1: never */
+  msec_t fail_at;  /* first failure since, -1: none */
+  msec_t full_at;  /* had no room for a connection */
+};
+
+struct service
+{
+  service_t *next;
+  char name[NAME_LEN];
+  int connections;
+  db_t *dbs;
+  db_t *leader;
+  marks_t marks;
+  session_t *waiting; /* oldest first */
+  int nlead;          /* of them waiting for the primary */
+  int nread;
+};
+
+/* ---- sessions ---- */
+
+/* The statement that a session waits for.  */
+typedef struct
+{
+  bool active;
+  bool waiting; /* in the service's list */
+  bool lead;    /* only the primary can serve it */
+  bool reads;   /* has no effect */
+  bool sent;
+  bool repeated; /* ran and failed elsewhere before */
+  op_t op;       /* strings in TEXT */
+  buf_t text;
+  char prepared[NAME_LEN + 2];
+  pos_t need;
+  msec_t arrived;
+  msec_t deadline;
+  msec_t attempt; /* end of the present attempt */
+  db_t *tried[SITES_MAX];
+  int ntried;
+  fail_t last; /* why the last attempt did not run */
+  int attempts;
+} request_t;
+
+struct session
+{
+  session_t *next; /* of the proxy */
+  session_t *prev;
+  session_t *next_waiting;
+  proxy_t *proxy;
+  stream_t *stream;
+  char host[NAME_LEN];
+  service_t *service; /* of the transaction */
+  tx_t tx;
+  bool started;
+  bool tx_read;  /* opened as read only */
+  bool tx_begun; /* LINK is in the transaction */
+  bool tx_wrote;
+  bool tx_lost; /* its connection ended while no statement ran */
+  msec_t tx_began;
+  msec_t opened;
+  msec_t seen;
+  link_t *link;
+  values_t values;
+  values_t prepared; /* value: 'r' or 'w' and the shape */
+  pos_t own;
+  route_entry_t route;
+  char route_service[NAME_LEN];
+  request_t req;
+};
+
+/* ---- control ---- */
+
+typedef struct
+{
+  stream_t *stream;
+  str_t *address;
+  size_t n;
+  size_t at;
+  apr_pool_t *pool;
+  int64_t seq;
+  int64_t boot;
+  int64_t roster;
+  msec_t asked;
+  msec_t heard;
+  bool urgent; /* something happened that control has to know at once */
+  bool lost;
+} watcher_t;
+
+struct proxy
+{
+  apr_pool_t *pool;
+  loop_t *loop;
+  proxy_conf_t conf;
+  int listener;
+  msec_t now;
+  session_t *sessions;
+  int nsession;
+  service_t *services;
+  watcher_t watch;
+  apr_pool_t *setup_pool;
+  setup_t *setup;
+  apr_hash_t *routes; /* host to route_entry_t */
+  msec_t stop_at;     /* SIGTERM, -1: none */
+  msec_t wake;
+  msec_t swept;
+  atomic_bool ready;
+  counter_t *served;
+  counter_t *refused;
+  counter_t *unknown;
+  counter_t *retried;
+  counter_t *opened;
+  counter_t *reads_replica;
+  counter_t *reads_primary;
+  counter_t *reads_near;
+};
+
+/* fleet.c */
+service_t *service_get (proxy_t *p, str_t name);
+service_t *service_find (proxy_t *p, const char *name);
+void fleet_news (proxy_t *p, const news_t *n);
+const route_entry_t *route_find (proxy_t *p, const char *host);
+/* lead_pick: the database believed to lead, or NULL.  */
+db_t *lead_pick (service_t *s, msec_t now);
+void lead_learned (service_t *s, db_t *d);
+void lead_refused (service_t *s, db_t *d, msec_t now);
+void db_ok (db_t *d, msec_t now);
+void db_failed (proxy_t *p, db_t *d, msec_t now);
+
+/* link.c */
+bool link_open (proxy_t *p, db_t *d);
+/* link_take: the idle connection of D that suits the session S best.  */
+link_t *link_take (db_t *d, session_t *s, msec_t now);
+/* link_release: gives it back; rolls an open transaction back first.  */
+void link_release (proxy_t *p, link_t *k);
+/* link_close: at once; its owner is not told.  */
+void link_close (proxy_t *p, link_t *k);
+/* link_begin: sends what the session's transaction needs on K.  */
+void link_begin (proxy_t *p, link_t *k, session_t *s);
+/* link_run: sends the session's statement on K.  */
+void link_run (proxy_t *p, link_t *k, session_t *s);
+void links_sweep (proxy_t *p, service_t *s, msec_t now);
+void links_close_idle (proxy_t *p, db_t *d);
+
+/* request.c */
+void request_start (session_t *s, const op_t *op);
+/* request_placed: tries to place the statement; it may wait.  */
+void request_place (session_t *s);
+void request_pump (proxy_t *p, service_t *v);
+void request_expire (session_t *s, msec_t now);
+/* request_begun, request_answer, request_lost: events of the link.  */
+void request_begun (session_t *s, link_t *k, fail_t f, pos_t pos);
+void request_answer (session_t *s, link_t *k, tx_t state, pos_t pos);
+void request_lost (session_t *s, link_t *k);
+void request_drop (session_t *s);
+void request_fail (session_t *s, fail_t f, str_t text);
+
+/* session.c */
+void session_accept (proxy_t *p, int fd);
+void session_input (void *arg);
+/* session_next: the statement is answered; takes the next one.  */
+void session_next (session_t *s);
+void session_close (session_t *s);
+void session_ok (session_t *s);
+void session_tx_end (session_t *s);
+void sessions_sweep (proxy_t *p, msec_t now);
+
+/* watch.c */
+void watch_turn (proxy_t *p, msec_t now);
+void wake_at (proxy_t *p, msec_t at);
+
+#endif
--- /dev/null
+++ b/lib/proxy/proxy.c
@@ -0,0 +1,160 @@
+#include "local.h"
+
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+enum
+{
+  SWEEP = 100 /* ms between looks at idle sessions and connections */
+};
+
+void
+wake_at (proxy_t *p, msec_t at)
+{
+  if (p->wake < 0 || at < p->wake)
+    p->wake = at;
+}
+
+static void
+on_client (void *arg, uint32_t events)
+{
+  proxy_t *p = arg;
+
+  (void)events;
+  p->now = loop_now (p->loop);
+  for (;;)
+    {
+      int fd = accept4 (p->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (fd < 0)
+        return;
+      session_accept (p, fd);
+      wake_at (p, p->now + p->conf.startup);
+    }
+}
+
+static void
+counters (proxy_t *p)
+{
+  p->served = counter_get ("pimentopost_served_total", "statements answered");
+  p->refused = counter_get ("pimentopost_refused_total", "statements refused");
+  p->unknown = counter_get ("pimentopost_outcome_unknown_total",
+                            "statements whose outcome is unknown");
+  p->retried = counter_get ("pimentopost_retried_total",
+                            "statements sent to another database");
+  p->opened = counter_get ("pimentopost_connections_opened_total",
+                           "connections opened to databases");
+  p->reads_replica = counter_get ("pimentopost_reads_replica_total",
+                                  "reads served by replicas");
+  p->reads_primary = counter_get ("pimentopost_reads_primary_total",
+                                  "reads served by primaries");
+  p->reads_near = counter_get ("pimentopost_reads_near_total",
+                               "reads served in the own availability zone");
+}
+
+proxy_t *
+proxy_new (apr_pool_t *pool, loop_t *l, const proxy_conf_t *c, err_t *e)
+{
+  proxy_t *p = apr_pcalloc (pool, sizeof *p);
+
+  p->pool = pool;
+  p->loop = l;
+  p->conf = *c;
+  p->now = loop_now (l);
+  p->stop_at = -1;
+  p->wake = p->now;
+  p->watch.roster = -1;
+  p->watch.asked = p->now - 1000;
+  p->watch.heard = p->now;
+  p->watch.at = (size_t)(rng_system_seed () % 1024);
+  counters (p);
+  p->listener = rpc_listen (c->listen, e);
+  if (p->listener < 0 || !loop_watch (l, p->listener, on_client, p, e))
+    return NULL;
+  return p;
+}
+
+void
+proxy_control (proxy_t *p, const str_t *address, size_t n)
+{
+  p->conf.ncontrol = n;
+  p->conf.control = apr_palloc (p->pool, n * sizeof *address + 1);
+  for (size_t i = 0; i < n; i++)
+    p->conf.control[i] = str_dup (p->pool, address[i]);
+}
+
+bool
+proxy_ready (const proxy_t *p)
+{
+  return atomic_load (&p->ready);
+}
+
+void
+proxy_stop (proxy_t *p)
+{
+  if (p->stop_at >= 0)
+    return;
+  p->stop_at = loop_now (p->loop);
+  atomic_store (&p->ready, false);
+  log_event (EV_DRAIN_BEGIN, "sessions=%d", p->nsession);
+}
+
+static void
+stop_turn (proxy_t *p, msec_t now)
+{
+  msec_t age = now - p->stop_at;
+
+  if (age < NOT_READY_TIME)
+    return;
+  if (p->nsession && age < p->conf.grace - STOP_MARGIN)
+    return;
+  log_event (EV_DRAIN_END, "sessions=%d ms=%lld", p->nsession, (long long)age);
+  loop_stop (p->loop);
+}
+
+static bool
+has_databases (const proxy_t *p)
+{
+  for (const service_t *s = p->services; s; s = s->next)
+    if (s->dbs)
+      return true;
+  return false;
+}
+
+msec_t
+proxy_turn (void *arg, msec_t now)
+{
+  proxy_t *p = arg;
+  bool due = p->wake >= 0 && now >= p->wake;
+
+  p->now = now;
+  if (due)
+    p->wake = -1;
+  watch_turn (p, now);
+  if (due)
+    {
+      sessions_sweep (p, now);
+      for (service_t *s = p->services; s; s = s->next)
+        {
+          links_sweep (p, s, now);
+          request_pump (p, s);
+        }
+    }
+  if (p->stop_at >= 0)
+    stop_turn (p, now);
+  else if (!atomic_load (&p->ready) && p->setup && has_databases (p))
+    {
+      atomic_store (&p->ready, true);
+      log_event (EV_READY, "version=%lld", (long long)p->setup->version);
+    }
+  for (session_t *s = p->sessions; s; s = s->next)
+    if (s->req.active)
+      wake_at (p, s->req.attempt > now && s->req.attempt < s->req.deadline
+                      ? s->req.attempt
+                      : s->req.deadline);
+  wake_at (p, now + (p->stop_at >= 0 ? SWEEP : 3 * SWEEP));
+  for (service_t *s = p->services; s; s = s->next)
+    if (s->waiting)
+      wake_at (p, now + SWEEP / 2);
+  return p->wake;
+}
--- /dev/null
+++ b/lib/proxy/session.c
@@ -0,0 +1,420 @@
+#include "local.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static void session_closed (void *arg, err_t *e);
+static const stream_ops_t session_ops
+    = { NULL, session_input, session_closed };
+
+static buf_t *
+out (session_t *s)
+{
+  stream_flush (s->stream);
+  return stream_out (s->stream);
+}
+
+void
+session_accept (proxy_t *p, int fd)
+{
+  session_t *s = calloc (1, sizeof *s);
+
+  if (s == NULL)
+    abort ();
+  s->proxy = p;
+  s->opened = s->seen = p->now;
+  s->next = p->sessions;
+  if (p->sessions)
+    p->sessions->prev = s;
+  p->sessions = s;
+  p->nsession++;
+  s->stream = stream_accept (p->loop, fd, &session_ops, s);
+}
+
+static void
+session_free (session_t *s)
+{
+  proxy_t *p = s->proxy;
+
+  request_drop (s);
+  if (s->link)
+    link_release (p, s->link);
+  if (s->prev)
+    s->prev->next = s->next;
+  else
+    p->sessions = s->next;
+  if (s->next)
+    s->next->prev = s->prev;
+  p->nsession--;
+  values_free (&s->values);
+  values_free (&s->prepared);
+  buf_free (&s->req.text);
+  free (s);
+}
+
+void
+session_close (session_t *s)
+{
+  stream_close (s->stream);
+  session_free (s);
+}
+
+static void
+session_closed (void *arg, err_t *e)
+{
+  session_t *s = arg;
+
+  (void)e;
+  s->proxy->now = loop_now (s->proxy->loop);
+  session_free (s);
+}
+
+/* ---- answers of the proxy itself ---- */
+
+void
+session_ok (session_t *s)
+{
+  const client_codec_t *c = s->proxy->conf.client;
+
+  c->done (out (s), (str_t){ 0 });
+  c->ready (out (s), s->tx);
+}
+
+static void
+refuse (session_t *s, fail_t f, str_t why)
+{
+  const client_codec_t *c = s->proxy->conf.client;
+
+  counter_add (s->proxy->refused, 1);
+  c->error (out (s), f, why);
+  c->ready (out (s), s->tx);
+}
+
+void
+session_tx_end (session_t *s)
+{
+  s->tx = TX_NONE;
+  s->tx_begun = s->tx_read = s->tx_wrote = s->tx_lost = false;
+}
+
+/* ---- start ---- */
+
+static bool
+use_route (session_t *s)
+{
+  proxy_t *p = s->proxy;
+  const route_entry_t *r = route_find (p, s->host);
+
+  if (r == NULL)
+    return false;
+  if (s->service && strcmp (s->route_service, s->service->name) == 0
+      && str_eq (r->service, str_of (s->route_service)))
+    s->route = *r;
+  else
+    {
+      s->route = *r;
+      s->service = service_get (p, r->service);
+      snprintf (s->route_service, sizeof s->route_service, "%s",
+                s->service->name);
+    }
+  /* The views belong to a configuration that may go.  */
+  s->route.host = s->route.service = (str_t){ 0 };
+  return true;
+}
+
+/* False when the session is closed.  */
+static bool
+no_database (session_t *s)
+{
+  log_event (EV_NO_DATABASE, "host=%s version=%lld", s->host,
+             s->proxy->setup ? (long long)s->proxy->setup->version : 0LL);
+  s->proxy->conf.client->error (out (s), FAIL_NODB, str_of (s->host));
+  session_close (s);
+  return false;
+}
+
+static bool
+startup (session_t *s, str_t host)
+{
+  if (host.n >= sizeof s->host)
+    host.n = sizeof s->host - 1;
+  snprintf (s->host, sizeof s->host, STR_FMT, STR_ARG (host));
+  if (!use_route (s))
+    return no_database (s);
+  s->started = true;
+  s->proxy->conf.client->ready (out (s), TX_NONE);
+  return true;
+}
+
+/* ---- statements that need no database ---- */
+
+static bool
+failed_tx (session_t *s, const op_t *op)
+{
+  if (op->kind == OP_ROLLBACK)
+    {
+      session_tx_end (s);
+      session_ok (s);
+    }
+  else if (op->kind == OP_COMMIT)
+    {
+      session_tx_end (s);
+      refuse (s, FAIL_ABORTED, STR ("the transaction had failed"));
+    }
+  else
+    refuse (s, FAIL_MALFORMED, STR ("the transaction has failed"));
+  return true;
+}
+
+static bool
+begin (session_t *s, const op_t *op)
+{
+  if (s->tx != TX_NONE)
+    {
+      refuse (s, FAIL_MALFORMED, STR ("a transaction is open"));
+      return true;
+    }
+  if (!use_route (s))
+    return no_database (s);
+  session_tx_end (s);
+  s->tx = TX_OPEN;
+  s->tx_read = op->kind == OP_BEGIN_READ;
+  s->tx_began = s->proxy->now;
+  session_ok (s);
+  return true;
+}
+
+static void
+rollback (session_t *s)
+{
+  link_t *k = s->link;
+
+  if (s->tx == TX_NONE)
+    {
+      refuse (s, FAIL_MALFORMED, STR ("no transaction is open"));
+      return;
+    }
+  session_tx_end (s);
+  if (k)
+    link_release (s->proxy, k);
+  session_ok (s);
+}
+
+static void
+prepare (session_t *s, const op_t *op)
+{
+  char shape[NAME_LEN + 1];
+
+  if (op->arg.n >= NAME_LEN)
+    {
+      refuse (s, FAIL_MALFORMED, STR ("the shape is too long"));
+      return;
+    }
+  snprintf (shape, sizeof shape, "%c" STR_FMT, op->writes ? 'w' : 'r',
+            STR_ARG (op->arg));
+  values_set (&s->prepared, op->name, str_of (shape));
+  session_ok (s);
+}
+
+/* The transaction's connection ended while it was idle.  */
+static void
+lost_tx (session_t *s, const op_t *op)
+{
+  if (op->kind == OP_COMMIT)
+    session_tx_end (s);
+  else
+    s->tx = TX_FAILED;
+  refuse (s, FAIL_ABORTED, STR ("the connection was lost"));
+}
+
+/* False when the session is closed.  */
+static bool
+statement (session_t *s, op_t *op)
+{
+  char name[NAME_LEN];
+  const char *shape;
+
+  if (op->kind == OP_COMMIT && s->tx == TX_NONE)
+    {
+      refuse (s, FAIL_MALFORMED, STR ("no transaction is open"));
+      return true;
+    }
+  if (op->kind == OP_EXECUTE)
+    {
+      snprintf (name, sizeof name, STR_FMT, STR_ARG (op->name));
+      shape = values_get (&s->prepared, name);
+      if (shape == NULL)
+        {
+          s->tx = s->tx == TX_NONE ? TX_NONE : TX_FAILED;
+          refuse (s, FAIL_NOSTMT, op->name);
+          return true;
+        }
+      op->writes = shape[0] == 'w';
+      op->name = str_of (shape + 1);
+    }
+  if (op->kind == OP_WRITE)
+    op->writes = true;
+  if (s->tx == TX_OPEN && s->tx_lost)
+    {
+      lost_tx (s, op);
+      return true;
+    }
+  if (s->tx == TX_NONE && !use_route (s))
+    return no_database (s);
+  request_start (s, op);
+  return true;
+}
+
+static bool
+operate (session_t *s, op_t *op)
+{
+  s->seen = s->proxy->now;
+  if (s->tx == TX_FAILED)
+    return failed_tx (s, op);
+  switch (op->kind)
+    {
+    case OP_BEGIN:
+    case OP_BEGIN_READ:
+      return begin (s, op);
+    case OP_ROLLBACK:
+      rollback (s);
+      return true;
+    case OP_SET:
+      values_set (&s->values, op->name, op->arg);
+      session_ok (s);
+      return true;
+    case OP_PREPARE:
+      prepare (s, op);
+      return true;
+    case OP_DEALLOCATE:
+      if (values_drop (&s->prepared, op->name))
+        session_ok (s);
+      else
+        refuse (s, FAIL_NOSTMT, op->name);
+      return true;
+    case OP_MALFORMED:
+      refuse (s, FAIL_MALFORMED, STR ("not a statement"));
+      return true;
+    default:
+      return statement (s, op);
+    }
+}
+
+/* ---- input ---- */
+
+static bool
+take (session_t *s, client_msg_t *m)
+{
+  if (m->kind == CLIENT_END || (m->kind == CLIENT_STARTUP) == s->started)
+    {
+      session_close (s);
+      return false;
+    }
+  return m->kind == CLIENT_STARTUP ? startup (s, m->host)
+                                   : operate (s, &m->op);
+}
+
+static void
+advance (session_t *s)
+{
+  proxy_t *p = s->proxy;
+  client_msg_t m;
+  size_t used;
+  int got = 0;
+
+  while (!s->req.active
+         && (got = p->conf.client->decode (buf_str (stream_in (s->stream)),
+                                           &used, &m))
+                > 0)
+    {
+      stream_t *st = s->stream;
+      if (!take (s, &m))
+        return;
+      buf_take (stream_in (st), used);
+    }
+  if (got < 0)
+    {
+      log_event (EV_CLIENT_MALFORMED, "started=%d", s->started);
+      p->conf.client->error (out (s), FAIL_MALFORMED, STR ("not a message"));
+      session_close (s);
+    }
+}
+
+void
+session_input (void *arg)
+{
+  session_t *s = arg;
+
+  s->proxy->now = loop_now (s->proxy->loop);
+  advance (s);
+}
+
+void
+session_next (session_t *s)
+{
+  s->seen = s->proxy->now;
+  /* What the client has sent meanwhile is taken at the end of the turn.  */
+  if (buf_len (stream_in (s->stream)))
+    wake_at (s->proxy, s->proxy->now);
+}
+
+/* ---- time ---- */
+
+static bool
+idle_too_long (const session_t *s, msec_t now)
+{
+  const proxy_t *p = s->proxy;
+  msec_t limit = p->setup ? p->setup->tx_idle : 0;
+
+  return s->tx == TX_OPEN && s->link && !s->req.active && limit > 0
+         && now - s->seen >= limit;
+}
+
+static void
+sweep_one (session_t *s, msec_t now)
+{
+  proxy_t *p = s->proxy;
+  msec_t age = p->stop_at < 0 ? -1 : now - p->stop_at;
+
+  if (!s->started && now - s->opened >= p->conf.startup)
+    {
+      log_event (EV_STARTUP_TIMEOUT, "ms=%lld", (long long)(now - s->opened));
+      p->conf.client->error (out (s), FAIL_TIMEOUT,
+                             STR ("no start-up message in time"));
+      session_close (s);
+      return;
+    }
+  if (idle_too_long (s, now))
+    {
+      link_t *k = s->link;
+      log_event (EV_TX_IDLE, "host=%s ms=%lld", s->host,
+                 (long long)(now - s->seen));
+      s->tx_lost = true;
+      link_release (p, k);
+    }
+  if (s->req.active)
+    {
+      request_expire (s, now);
+      return;
+    }
+  if (buf_len (stream_in (s->stream)))
+    {
+      advance (s);
+      return;
+    }
+  if (age >= NOT_READY_TIME && s->tx == TX_NONE)
+    session_close (s);
+}
+
+void
+sessions_sweep (proxy_t *p, msec_t now)
+{
+  session_t *next;
+
+  for (session_t *s = p->sessions; s; s = next)
+    {
+      next = s->next;
+      sweep_one (s, now);
+    }
+}
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -217,6 +217,72 @@
         TEXT (query_resp_t, leader) };
 TABLE (query_resp);
 
+static const field_t route_entry_fields[]
+    = { TEXT (route_entry_t, host),     TEXT (route_entry_t, service),
+        INT (route_entry_t, freshness), INT (route_entry_t, max_age),
+        INT (route_entry_t, timeout),   INT (route_entry_t, target),
+        INT (route_entry_t, priority) };
+TABLE (route_entry);
+
+static const field_t service_entry_fields[]
+    = { TEXT (service_entry_t, name), INT (service_entry_t, connections),
+        INT (service_entry_t, sync_replicas) };
+TABLE (service_entry);
+
+static const field_t setup_fields[]
+    = { INT (setup_t, version), INT (setup_t, tx_idle),
+        LIST (setup_t, routes, route_entry),
+        LIST (setup_t, services, service_entry) };
+TABLE (setup);
+
+static const field_t backend_fields[]
+    = { TEXT (backend_t, id),      TEXT (backend_t, service),
+        TEXT (backend_t, address), TEXT (backend_t, zone),
+        INT (backend_t, born),     INT (backend_t, seq),
+        INT (backend_t, age),      INT (backend_t, slots),
+        BOOL (backend_t, primary), BOOL (backend_t, leaving),
+        BOOL (backend_t, gone) };
+TABLE (backend);
+
+static const field_t roster_fields[]
+    = { TEXT (roster_t, from), LIST (roster_t, backends, backend),
+        BOOL (roster_t, whole) };
+TABLE (roster);
+
+static const field_t sight_fields[]
+    = { TEXT (sight_t, service), TEXT (sight_t, id), INT (sight_t, ok_age),
+        INT (sight_t, fail_age) };
+TABLE (sight);
+
+static const field_t watch_fields[]
+    = { TEXT (watch_t, name),   INT (watch_t, seq),
+        INT (watch_t, version), INT (watch_t, roster),
+        INT (watch_t, boot),    LIST (watch_t, sights, sight) };
+TABLE (watch);
+
+static const field_t news_fields[] = { INT (news_t, seq),
+                                       INT (news_t, boot),
+                                       BOOL (news_t, led),
+                                       BOOL (news_t, warm),
+                                       INT (news_t, version),
+                                       TEXT (news_t, setup),
+                                       INT (news_t, roster),
+                                       BOOL (news_t, whole),
+                                       LIST (news_t, backends, backend),
+                                       LIST (news_t, control, member) };
+TABLE (news);
+
+static const field_t fleet_record_fields[]
+    = { INT (fleet_record_t, kind),     INT (fleet_record_t, version),
+        TEXT (fleet_record_t, setup),   TEXT (fleet_record_t, document),
+        TEXT (fleet_record_t, service), TEXT (fleet_record_t, id) };
+TABLE (fleet_record);
+
+static const field_t fleet_state_fields[]
+    = { INT (fleet_state_t, version), TEXT (fleet_state_t, setup),
+        TEXT (fleet_state_t, document), INT (fleet_state_t, intents) };
+TABLE (fleet_state);
+
 static const table_t *const tables[MSG_TYPES] = {
   [MSG_VOTE_REQ] = &vote_req_table,
   [MSG_VOTE_RESP] = &vote_resp_table,
@@ -237,6 +303,12 @@
   [MSG_RAFT_STATE] = &raft_state_table,
   [MSG_RAFT_RECORD] = &raft_record_table,
   [MSG_RAFT_SNAP] = &raft_snap_table,
+  [MSG_ROSTER] = &roster_table,
+  [MSG_WATCH] = &watch_table,
+  [MSG_NEWS] = &news_table,
+  [MSG_FLEET_RECORD] = &fleet_record_table,
+  [MSG_FLEET_STATE] = &fleet_state_table,
+  [MSG_SETUP] = &setup_table,
 };
 
 const char *
