--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -78,6 +78,8 @@
   proxy_t *p = arg;
 
   p->now = loop_now (p->loop);
+  /* The silence of the instance before is not that of this one.  */
+  p->watch.heard = p->now;
   report (p);
 }
 
