Let sessions wait for the first configuration

Sessions now wait up to 1.5 s and then get BUSY; a configuration of a control instance without a leader is not taken in the first 2 s, since it may be an old one.

Ruled out: a version going back inside one process; the log shows version 0.

--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -267,8 +267,12 @@
 void
 fleet_news (proxy_t *p, const news_t *n)
 {
-  if (n->setup.n)
-    take_setup (p, n->setup);
+  if (n->setup.n
+      && (n->led || p->setup || p->now - p->started >= SETUP_UNLED))
+    {
+      take_setup (p, n->setup);
+      wake_at (p, p->now);
+    }
   for (size_t i = 0; i < n->backends.n; i++)
     db_update (p, LIST_AT (n->backends, backend_t, i));
   if (n->whole && n->warm)
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -22,6 +22,11 @@
   AVOID_MAX = 1000,
   LEAD_RETRY = 150,      /* ms until a database that does not lead is asked
                             again */
+  SETUP_WAIT = 1500,     /* ms that a session waits for the first
+                            configuration; clients wait 2 s */
+  SETUP_UNLED = 2000,    /* ms after the start until a configuration of an
+                            instance without a leader is taken: it may be an
+                            old one */
   WATCH_EVERY = 300,     /* ms between reports to control */
   WATCH_LOST = 1200,     /* ms without news: another control instance */
   NOT_READY_TIME = 2200, /* ms after SIGTERM until sessions are closed; the
@@ -218,6 +223,7 @@
   proxy_conf_t conf;
   int listener;
   msec_t now;
+  msec_t started;
   session_t *sessions;
   int nsession;
   service_t *services;
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -60,7 +60,7 @@
   p->pool = pool;
   p->loop = l;
   p->conf = *c;
-  p->now = loop_now (l);
+  p->now = p->started = loop_now (l);
   p->stop_at = -1;
   p->wake = p->now;
   p->watch.roster = -1;
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -323,6 +323,9 @@
   size_t used;
   int got = 0;
 
+  /* Without a configuration it is not known which databases exist.  */
+  if (p->setup == NULL)
+    return;
   while (!s->req.active
          && (got = p->conf.client->decode (buf_str (stream_in (s->stream)),
                                            &used, &m))
@@ -385,6 +388,12 @@
       session_close (s);
       return;
     }
+  if (p->setup == NULL && now - s->opened >= SETUP_WAIT)
+    {
+      p->conf.client->error (out (s), FAIL_BUSY, STR ("no configuration yet"));
+      session_close (s);
+      return;
+    }
   if (idle_too_long (s, now))
     {
       link_t *k = s->link;
