Share half of a database's connections, open one at a time

Cause: each entry instance opened up to a quarter of a database's connections at once. Control now tells how many entry instances there are; an instance opens its share of half the limit, one at a time, and closes all but one after 1 s without use.

Ruled out: heartbeats as the cause of the slow recovery; that comes on top.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -208,9 +208,9 @@
 
 /* place_read: a read that any database may serve.  Replicas come before the
    primary, whose connections writes need; the own zone before others.  */
-place_t place_read (const site_t *s, int n, int waiting);
+place_t place_read (const site_t *s, int n);
 /* place_lead: a statement that only the primary may serve.  */
-place_t place_lead (const site_t *s, int n, int waiting);
+place_t place_lead (const site_t *s, int n);
 
 /* ---- daemon ---- */
 
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -417,7 +417,8 @@
 {
   str_t from;
   list_t backends; /* backend_t */
-  bool whole;      /* all that it knows; asks for the receiver's in turn */
+  bool whole;      /* all that it knows */
+  int64_t entries; /* entry instances that watch the sender */
 } roster_t;
 
 /* What an entry instance saw of the primary of a service.  */
@@ -452,6 +453,7 @@
   bool whole;      /* BACKENDS is the roster */
   list_t backends; /* backend_t */
   list_t control;  /* member_t: control instances */
+  int64_t entries; /* entry instances that share the databases */
 } news_t;
 
 typedef enum
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -18,6 +18,7 @@
   GOSSIP_EVERY = 1000,    /* ms between whole rosters to the others */
   READ_TIME = 900,        /* ms that a read may wait for its quorum */
   SUBMIT_TIME = 2500,     /* ms that an order may wait for its quorum */
+  WATCHED_AGE = 3000,   /* ms that another's count of entry instances holds */
   WARM = 5000,     /* ms after the start until all heartbeats were heard */
   REPLACED = 2500, /* ms of silence of a member that another replaced */
   PENDING = 64,    /* orders and reads at a time */
@@ -117,6 +118,14 @@
   msec_t voter_since[PEERS];
   msec_t heard[PEERS];
   size_t nvoter;
+  /* Entry instances that watch the other control instances.  */
+  struct
+  {
+    char name[64];
+    int64_t entries;
+    msec_t at;
+  } watched[PEERS];
+  size_t nwatched;
   /* The replicated state.  */
   int64_t version;
   buf_t setup;
@@ -156,6 +165,8 @@
 void pending_review (cell_t *c);
 void pending_fail (cell_t *c);
 /* news.c */
+int64_t news_entries (cell_t *c);
+void news_watched (cell_t *c, const roster_t *m);
 void news_send (cell_t *c, remote_t *r);
 void news_spread (cell_t *c);
 void gossip (cell_t *c, bool whole);
--- a/lib/cell/message.c
+++ b/lib/cell/message.c
@@ -18,6 +18,7 @@
   for (size_t i = 0; i < m->backends.n; i++)
     roster_beat (&c->roster, LIST_AT (m->backends, backend_t, i), c->now, &e);
   (void)from;
+  news_watched (c, m);
   news_spread (c);
 }
 
--- a/lib/cell/news.c
+++ b/lib/cell/news.c
@@ -1,6 +1,45 @@
 #include "local.h"
 
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+
+static int64_t
+own_entries (const cell_t *c)
+{
+  int64_t n = 0;
+
+  for (const remote_t *r = c->remotes; r; r = r->next)
+    n += r->watcher && r->stream;
+  return n;
+}
+
+void
+news_watched (cell_t *c, const roster_t *m)
+{
+  size_t i = 0;
+
+  while (i < c->nwatched && !str_eq (str_of (c->watched[i].name), m->from))
+    i++;
+  if (i == PEERS)
+    return;
+  if (i == c->nwatched)
+    snprintf (c->watched[c->nwatched++].name, sizeof c->watched[i].name,
+              STR_FMT, STR_ARG (m->from));
+  c->watched[i].entries = m->entries;
+  c->watched[i].at = c->now;
+}
+
+int64_t
+news_entries (cell_t *c)
+{
+  int64_t n = own_entries (c);
+
+  for (size_t i = 0; i < c->nwatched; i++)
+    if (c->now - c->watched[i].at < WATCHED_AGE)
+      n += c->watched[i].entries;
+  return n;
+}
 
 void
 news_send (cell_t *c, remote_t *r)
@@ -20,7 +59,8 @@
                .setup = setup ? buf_str (&c->setup) : (str_t){ 0 },
                .roster = c->roster.number,
                .whole = r->roster < 0,
-               .control = m->list };
+               .control = m->list,
+               .entries = news_entries (c) };
   n.backends.v = v;
   n.backends.n = roster_list (&c->roster, r->roster, c->now, v, max);
   peers_answer (c, r, MSG_NEWS, &n);
@@ -49,7 +89,9 @@
   size_t max = c->roster.n;
   backend_t *v = calloc (max + 1, sizeof *v);
   const members_t *m = raft_member_list (c->raft);
-  roster_t r = { .from = c->conf.name, .whole = whole };
+  roster_t r = { .from = c->conf.name,
+                 .whole = whole,
+                 .entries = own_entries (c) };
 
   if (v == NULL)
     abort ();
@@ -59,7 +101,7 @@
   c->gossip_number = c->roster.number;
   if (whole)
     c->gossiped = c->now;
-  for (size_t i = 0; r.backends.n && i < m->list.n; i++)
+  for (size_t i = 0; i < m->list.n; i++)
     {
       const member_t *x = LIST_AT (m->list, member_t, i);
       if (x->id != raft_id (c->raft))
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -267,6 +267,8 @@
 void
 fleet_news (proxy_t *p, const news_t *n)
 {
+  if (n->entries > 0)
+    p->entries = (int)n->entries;
   if (n->setup.n
       && (n->led || p->setup || p->now - p->started >= SETUP_UNLED))
     {
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -152,7 +152,9 @@
     for (link_t *k = d->links; k; k = next)
       {
         bool tight = d->full_at && now - d->full_at < 3000;
-        msec_t keep = tight ? IDLE_KEEP_SHORT : IDLE_KEEP;
+        msec_t keep = tight         ? IDLE_KEEP_SHORT
+                      : d->open > 1 ? IDLE_KEEP_MORE
+                                    : IDLE_KEEP;
         next = k->next;
         if (k->state == LINK_OPENING && now - k->since >= CONNECT_TIME)
           {
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -17,9 +17,11 @@
   CONNECT_TIME = 700,    /* ms to open a connection to a database */
   SILENCE = 3000,        /* ms without acknowledgement ends a connection */
   IDLE_KEEP = 8000,      /* ms that an unused connection is kept */
+  IDLE_KEEP_MORE = 1000, /* the same for all but one to a database */
   IDLE_KEEP_SHORT = 300, /* the same while a database has no room for more */
   AVOID_FIRST = 100,     /* ms that a failing database is avoided */
   AVOID_MAX = 1000,
+  ENTRIES_GUESS = 8,    /* until control tells how many share a database */
   LEAD_RETRY = 150,      /* ms until a database that does not lead is asked
                             again */
   SETUP_WAIT = 1500,     /* ms that a session waits for the first
@@ -143,8 +145,6 @@
   db_t *leader;
   marks_t marks;
   session_t *waiting; /* oldest first */
-  int nlead;          /* of them waiting for the primary */
-  int nread;
 };
 
 /* ---- sessions ---- */
@@ -226,6 +226,7 @@
   msec_t started;
   session_t *sessions;
   int nsession;
+  int entries; /* entry instances that share the databases; 0: unknown */
   service_t *services;
   watcher_t watch;
   apr_pool_t *setup_pool;
--- a/lib/proxy/place.c
+++ b/lib/proxy/place.c
@@ -17,14 +17,16 @@
          * (s->near ? 1 : FAR_WEIGHT);
 }
 
+/* Opening a connection takes a slot of the database for a while, so one at a
+   time: many at once would keep the statements out.  */
 static bool
-can_open (const site_t *s, int waiting)
+can_open (const site_t *s)
 {
-  return s->open + s->opening < s->limit && s->opening <= waiting;
+  return s->open + s->opening < s->limit && s->opening == 0;
 }
 
 place_t
-place_read (const site_t *s, int n, int waiting)
+place_read (const site_t *s, int n)
 {
   int best = -1, idle = -1, grow = -1, usable = 0;
 
@@ -37,7 +39,7 @@
         best = i;
       if (s[i].idle && (idle < 0 || cost (&s[i]) < cost (&s[idle])))
         idle = i;
-      if (can_open (&s[i], waiting)
+      if (can_open (&s[i])
           && (grow < 0 || cost (&s[i]) < cost (&s[grow])))
         grow = i;
     }
@@ -55,7 +57,7 @@
 }
 
 place_t
-place_lead (const site_t *s, int n, int waiting)
+place_lead (const site_t *s, int n)
 {
   for (int i = 0; i < n; i++)
     {
@@ -63,7 +65,7 @@
         continue;
       if (s[i].idle)
         return (place_t){ PLACE_USE, i };
-      return (place_t){ can_open (&s[i], waiting) ? PLACE_OPEN : PLACE_WAIT,
+      return (place_t){ can_open (&s[i]) ? PLACE_OPEN : PLACE_WAIT,
                         i };
     }
   return (place_t){ PLACE_NONE, -1 };
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -29,10 +29,6 @@
   s->next_waiting = *at;
   *at = s;
   r->waiting = true;
-  if (r->lead)
-    s->service->nlead++;
-  else
-    s->service->nread++;
 }
 
 static void
@@ -46,10 +42,6 @@
     at = &(*at)->next_waiting;
   *at = s->next_waiting;
   s->req.waiting = false;
-  if (s->req.lead)
-    s->service->nlead--;
-  else
-    s->service->nread--;
 }
 
 /* ---- answers to the client ---- */
@@ -181,14 +173,17 @@
   request_place (s);
 }
 
-/* Connections that this instance may open to a database.  The database
-   refuses what goes over its limit, so the share is a guide only.  */
+/* Connections that this instance may open to a database: its share of half of
+   them.  After a power loss the other half takes the new connections while the
+   database still counts the lost ones.  Two are the least: a transaction holds
+   one while its client pauses.  */
 static int
-link_limit (const service_t *v, const db_t *d, msec_t now)
+link_limit (const proxy_t *p, const service_t *v, const db_t *d)
 {
-  int n = v->connections / 4;
+  int entries = p->entries > 0 ? p->entries : ENTRIES_GUESS;
+  int n = v->connections / 2 / entries;
 
-  if (d->full_at && now - d->full_at < 200)
+  if (d->full_at && p->now - d->full_at < 200)
     return d->open + d->opening;
   return n < 2 ? 2 : n;
 }
@@ -213,7 +208,7 @@
         .idle = d->idle,
         .opening = d->opening,
         .open = d->open,
-        .limit = link_limit (v, d, p->now),
+        .limit = link_limit (p, v, d),
         .busy = d->open - d->idle,
         .ms = d->ms,
       };
@@ -229,7 +224,6 @@
   bool alone = s->tx == TX_NONE;
   msec_t began = alone ? r->arrived : s->tx_began;
   bool lead = alone ? !r->reads : !s->tx_read;
-  bool was = r->waiting;
 
   if (!lead && s->route.freshness == FRESH_PRIMARY)
     lead = true;
@@ -237,12 +231,6 @@
     lead = !marks_need (
         &s->service->marks, began, s->route.max_age,
         s->route.freshness == FRESH_SESSION ? s->own : (pos_t){ 0 }, &r->need);
-  if (was && lead != r->lead)
-    {
-      dequeue (s);
-      r->lead = lead;
-      enqueue (s);
-    }
   r->lead = lead;
 }
 
@@ -276,9 +264,8 @@
 
   want (s);
   int n = sites (p, s, site, db);
-  int waiting = s->req.lead ? s->service->nlead : s->service->nread;
-  place_t at = s->req.lead ? place_lead (site, n, waiting)
-                           : place_read (site, n, waiting);
+  place_t at = s->req.lead ? place_lead (site, n)
+                           : place_read (site, n);
   if (at.kind == PLACE_USE)
     {
       start_on (s, db[at.at]);
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -246,7 +246,8 @@
 
 static const field_t roster_fields[]
     = { TEXT (roster_t, from), LIST (roster_t, backends, backend),
-        BOOL (roster_t, whole) };
+        BOOL (roster_t, whole),
+        INT (roster_t, entries) };
 TABLE (roster);
 
 static const field_t sight_fields[]
@@ -269,7 +270,8 @@
                                        INT (news_t, roster),
                                        BOOL (news_t, whole),
                                        LIST (news_t, backends, backend),
-                                       LIST (news_t, control, member) };
+                                       LIST (news_t, control, member),
+        INT (news_t, entries) };
 TABLE (news);
 
 static const field_t fleet_record_fields[]
