--- a/include/rpc.h
+++ b/include/rpc.h
@@ -459,7 +459,8 @@
 typedef enum
 {
   FLEET_SETUP = 0,  /* VERSION, SETUP, DOCUMENT */
-  FLEET_PROMOTE = 1 /* SERVICE, ID: intent; its index is the fencing token */
+  FLEET_PROMOTE = 1, /* SERVICE, ID: intent; its index is the fencing token */
+  FLEET_ROSTER = 2   /* BACKENDS: changes of the roster */
 } fleet_kind_t;
 
 typedef struct
@@ -470,6 +471,7 @@
   str_t document; /* the operator's bytes, read back as they came */
   str_t service;
   str_t id;
+  list_t backends; /* backend_t */
 } fleet_record_t;
 
 typedef struct
@@ -478,6 +480,7 @@
   str_t setup;
   str_t document;
   int64_t intents; /* promotions decided so far */
+  list_t backends; /* backend_t */
 } fleet_state_t;
 
 /* ---- codec ---- */
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -38,6 +38,7 @@
   c->conf = *conf;
   c->now = c->started = loop_now (l);
   c->role = RAFT_FOLLOWER;
+  c->recorded = -1;
   c->boot = (int64_t)(rng_system_seed () >> 1);
   rng_init (&c->rng, rng_system_seed ());
   buf_init (&c->setup);
@@ -153,6 +154,7 @@
       join_review (c);
       peers_sweep (c);
       takeovers_tick (c);
+      roster_record (c);
       news_spread (c);
     }
   catch_up (c);
--- a/lib/cell/lead.c
+++ b/lib/cell/lead.c
@@ -20,8 +20,6 @@
   fleet_record_t r = { .kind = FLEET_PROMOTE,
                        .service = str_of (a->service),
                        .id = str_of (a->id) };
-  err_t e = { 0 };
-  buf_t b;
 
   log_event (EV_PRIMARY_LOST,
              "service=%s primary=%s planned=%d fail_ms=%lld refused=%d "
@@ -30,15 +28,7 @@
              t->fail < 0 ? -1LL : (long long)(c->now - t->fail), t->refused,
              t->seen_ok < 0 ? -1LL : (long long)(c->now - t->seen_ok), a->id,
              t->nsurvey);
-  buf_init (&b);
-  rpc_pack (&b, MSG_FLEET_RECORD, &r);
-  if (!raft_propose (c->raft, buf_str (&b), c->now, NULL, &e)
-      && e.code != ERR_NOT_LEADER && e.code != ERR_FULL)
-    {
-      c->err = e;
-      cell_step (c, false);
-    }
-  buf_free (&b);
+  cell_record (c, &r, NULL);
 }
 
 static void
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -18,6 +18,7 @@
   GOSSIP_EVERY = 1000,    /* ms between whole rosters to the others */
   READ_TIME = 900,        /* ms that a read may wait for its quorum */
   SUBMIT_TIME = 2500,     /* ms that an order may wait for its quorum */
+  RECORD_EVERY = 300,   /* ms between records of the roster */
   WATCHED_AGE = 3000,   /* ms that another's count of entry instances holds */
   WARM = 5000,     /* ms after the start until all heartbeats were heard */
   REPLACED = 2500, /* ms of silence of a member that another replaced */
@@ -136,6 +137,8 @@
   int64_t boot;
   roster_table_t roster;
   int64_t gossip_number;
+  int64_t recorded; /* number of the roster in the log, -1: not by this one */
+  msec_t recorded_at;
   raft_role_t role;
   int64_t term;
   int64_t leader;
@@ -162,8 +165,9 @@
 /* state.c */
 extern const raft_ops_t cell_raft_ops;
 bool cell_step (cell_t *c, bool ok);
+bool cell_record (cell_t *c, const fleet_record_t *r, int64_t *index);
+void roster_record (cell_t *c);
 void pending_review (cell_t *c);
-void pending_fail (cell_t *c);
 /* news.c */
 int64_t news_entries (cell_t *c);
 void news_watched (cell_t *c, const roster_t *m);
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -1,6 +1,7 @@
 #include "local.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* False, and the instance stops, when the store failed.  */
@@ -90,6 +91,18 @@
     takeover_recorded (t, r->id, index, c->now);
 }
 
+/* The roster is kept so that after a restart of all control instances the
+   databases are known before their next heartbeat.  What this instance has
+   heard since is newer and stays.  */
+static void
+take_backends (cell_t *c, const list_t *v)
+{
+  err_t e = { 0 };
+
+  for (size_t i = 0; i < v->n; i++)
+    roster_beat (&c->roster, LIST_AT (*v, backend_t, i), c->now, &e);
+}
+
 static void
 ops_apply (void *arg, const log_entry_t *v)
 {
@@ -107,6 +120,8 @@
                err_name (e.code));
   else if (r->kind == FLEET_SETUP)
     take_setup (c, r->version, r->setup, r->document);
+  else if (r->kind == FLEET_ROSTER)
+    take_backends (c, &r->backends);
   else
     take_intent (c, r, v->index);
   apr_pool_destroy (pool);
@@ -116,12 +131,18 @@
 ops_state (void *arg, buf_t *out)
 {
   const cell_t *c = arg;
+  backend_t *v = calloc (c->roster.n + 1, sizeof *v);
   fleet_state_t s = { .version = c->version,
                       .setup = buf_str (&c->setup),
                       .document = buf_str (&c->document),
                       .intents = c->intents };
 
+  if (v == NULL)
+    abort ();
+  s.backends.v = v;
+  s.backends.n = roster_list (&c->roster, -1, c->now, v, c->roster.n);
   rpc_pack (out, MSG_FLEET_STATE, &s);
+  free (v);
 }
 
 static bool
@@ -140,6 +161,7 @@
       c->intents = s->intents;
       put (&c->setup, s->setup);
       put (&c->document, s->document);
+      take_backends (c, &s->backends);
     }
   else
     err_set (e, ERR_CORRUPT, "snapshot", "no state of a fleet");
@@ -168,6 +190,50 @@
   c->conf.ops.answer (c->conf.ops.arg, ticket, &a);
 }
 
+/* Proposes R; the store's failure ends the process.  */
+bool
+cell_record (cell_t *c, const fleet_record_t *r, int64_t *index)
+{
+  err_t e = { 0 };
+  buf_t b;
+
+  buf_init (&b);
+  rpc_pack (&b, MSG_FLEET_RECORD, r);
+  bool ok = raft_propose (c->raft, buf_str (&b), c->now, index, &e);
+  buf_free (&b);
+  if (!ok && e.code != ERR_NOT_LEADER && e.code != ERR_FULL
+      && e.code != ERR_TOO_LARGE)
+    {
+      c->err = e;
+      cell_step (c, false);
+    }
+  return ok;
+}
+
+void
+roster_record (cell_t *c)
+{
+  fleet_record_t r = { .kind = FLEET_ROSTER };
+
+  if (!raft_leads (c->raft))
+    {
+      c->recorded = -1;
+      return;
+    }
+  if (c->recorded >= c->roster.number || c->now - c->recorded_at < RECORD_EVERY)
+    return;
+  backend_t *v = calloc (c->roster.n + 1, sizeof *v);
+  if (v == NULL)
+    abort ();
+  r.backends.v = v;
+  r.backends.n
+      = roster_list (&c->roster, c->recorded, c->now, v, c->roster.n);
+  if (r.backends.n == 0 || cell_record (c, &r, NULL))
+    c->recorded = c->roster.number;
+  c->recorded_at = c->now;
+  free (v);
+}
+
 static pending_t *
 pending_new (cell_t *c, int64_t ticket)
 {
@@ -221,8 +287,6 @@
                        .version = version,
                        .setup = setup,
                        .document = document };
-  err_t e = { 0 };
-  buf_t b;
 
   c->now = loop_now (c->loop);
   if (!raft_leads (c->raft))
@@ -242,19 +306,8 @@
       return;
     }
   p->term = raft_term (c->raft);
-  buf_init (&b);
-  rpc_pack (&b, MSG_FLEET_RECORD, &r);
-  bool ok = raft_propose (c->raft, buf_str (&b), c->now, &p->index, &e);
-  buf_free (&b);
-  if (ok)
-    return;
-  finish (c, p, CELL_UNSURE);
-  if (e.code != ERR_NOT_LEADER && e.code != ERR_FULL
-      && e.code != ERR_TOO_LARGE)
-    {
-      c->err = e;
-      cell_step (c, false);
-    }
+  if (!cell_record (c, &r, &p->index))
+    finish (c, p, CELL_UNSURE);
 }
 
 void
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -277,12 +277,14 @@
 static const field_t fleet_record_fields[]
     = { INT (fleet_record_t, kind),     INT (fleet_record_t, version),
         TEXT (fleet_record_t, setup),   TEXT (fleet_record_t, document),
-        TEXT (fleet_record_t, service), TEXT (fleet_record_t, id) };
+        TEXT (fleet_record_t, service), TEXT (fleet_record_t, id),
+        LIST (fleet_record_t, backends, backend) };
 TABLE (fleet_record);
 
 static const field_t fleet_state_fields[]
     = { INT (fleet_state_t, version), TEXT (fleet_state_t, setup),
-        TEXT (fleet_state_t, document), INT (fleet_state_t, intents) };
+        TEXT (fleet_state_t, document), INT (fleet_state_t, intents),
+        LIST (fleet_state_t, backends, backend) };
 TABLE (fleet_state);
 
 static const table_t *const tables[MSG_TYPES] = {
