--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -173,19 +173,32 @@
   request_place (s);
 }
 
-/* Connections that this instance may open to a database: its share of half of
-   them.  After a power loss the other half takes the new connections while the
-   database still counts the lost ones.  Two are the least: a transaction holds
-   one while its client pauses.  */
+static int
+pinned (const db_t *d)
+{
+  int n = 0;
+
+  for (const link_t *k = d->links; k; k = k->next)
+    n += k->in_tx;
+  return n;
+}
+
+/* Connections that this instance may open to a database: one, and one more for
+   each that a transaction holds while its client pauses, up to its share of
+   half of them.  After a power loss the other half takes the new connections
+   while the database still counts the lost ones.  */
 static int
 link_limit (const proxy_t *p, const service_t *v, const db_t *d)
 {
   int entries = p->entries > 0 ? p->entries : ENTRIES_GUESS;
-  int n = v->connections / 2 / entries;
+  int share = v->connections / 2 / entries;
+  int need = 1 + pinned (d);
 
   if (d->full_at && p->now - d->full_at < 200)
     return d->open + d->opening;
-  return n < 2 ? 2 : n;
+  if (share < 2)
+    share = 2;
+  return need < share ? need : share;
 }
 
 static int
