Report not ready in a zone that is cut off

The balancer sends clients to other zones when no instance of theirs is ready. An instance that for 1 s has no control instance with a leader, and cannot reach the primary of a service, reports not ready, lets its sessions go between statements, and refuses at once what only that primary could serve. What it can serve it still serves.

Ruled out: serving these reads from the local replica for longer; the bound on their age forbids it.

--- a/include/rpc.h
+++ b/include/rpc.h
@@ -458,7 +458,7 @@
 
 typedef enum
 {
-  FLEET_SETUP = 0,  /* VERSION, SETUP, DOCUMENT */
+  FLEET_SETUP = 0,   /* VERSION, SETUP, DOCUMENT */
   FLEET_PROMOTE = 1, /* SERVICE, ID: intent; its index is the fencing token */
   FLEET_ROSTER = 2   /* BACKENDS: changes of the roster */
 } fleet_kind_t;
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -18,11 +18,11 @@
   GOSSIP_EVERY = 1000,    /* ms between whole rosters to the others */
   READ_TIME = 900,        /* ms that a read may wait for its quorum */
   SUBMIT_TIME = 2500,     /* ms that an order may wait for its quorum */
-  RECORD_EVERY = 300,   /* ms between records of the roster */
-  WATCHED_AGE = 3000,   /* ms that another's count of entry instances holds */
-  WARM = 5000,     /* ms after the start until all heartbeats were heard */
-  REPLACED = 2500, /* ms of silence of a member that another replaced */
-  PENDING = 64,    /* orders and reads at a time */
+  RECORD_EVERY = 300,     /* ms between records of the roster */
+  WATCHED_AGE = 3000, /* ms that another's count of entry instances holds */
+  WARM = 5000,        /* ms after the start until all heartbeats were heard */
+  REPLACED = 2500,    /* ms of silence of a member that another replaced */
+  PENDING = 64,       /* orders and reads at a time */
   SERVICES = 256
 };
 
--- a/lib/cell/news.c
+++ b/lib/cell/news.c
@@ -89,9 +89,8 @@
   size_t max = c->roster.n;
   backend_t *v = calloc (max + 1, sizeof *v);
   const members_t *m = raft_member_list (c->raft);
-  roster_t r = { .from = c->conf.name,
-                 .whole = whole,
-                 .entries = own_entries (c) };
+  roster_t r
+      = { .from = c->conf.name, .whole = whole, .entries = own_entries (c) };
 
   if (v == NULL)
     abort ();
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -220,14 +220,14 @@
       c->recorded = -1;
       return;
     }
-  if (c->recorded >= c->roster.number || c->now - c->recorded_at < RECORD_EVERY)
+  if (c->recorded >= c->roster.number
+      || c->now - c->recorded_at < RECORD_EVERY)
     return;
   backend_t *v = calloc (c->roster.n + 1, sizeof *v);
   if (v == NULL)
     abort ();
   r.backends.v = v;
-  r.backends.n
-      = roster_list (&c->roster, c->recorded, c->now, v, c->roster.n);
+  r.backends.n = roster_list (&c->roster, c->recorded, c->now, v, c->roster.n);
   if (r.backends.n == 0 || cell_record (c, &r, NULL))
     c->recorded = c->roster.number;
   c->recorded_at = c->now;
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -269,8 +269,7 @@
 {
   if (n->entries > 0)
     p->entries = (int)n->entries;
-  if (n->setup.n
-      && (n->led || p->setup || p->now - p->started >= SETUP_UNLED))
+  if (n->setup.n && (n->led || p->setup || p->now - p->started >= SETUP_UNLED))
     {
       take_setup (p, n->setup);
       wake_at (p, p->now);
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -21,16 +21,20 @@
   IDLE_KEEP_SHORT = 300, /* the same while a database has no room for more */
   AVOID_FIRST = 100,     /* ms that a failing database is avoided */
   AVOID_MAX = 1000,
-  ENTRIES_GUESS = 8,    /* until control tells how many share a database */
-  LEAD_RETRY = 150,      /* ms until a database that does not lead is asked
-                            again */
-  SETUP_WAIT = 1500,     /* ms that a session waits for the first
-                            configuration; clients wait 2 s */
-  SETUP_UNLED = 2000,    /* ms after the start until a configuration of an
-                            instance without a leader is taken: it may be an
-                            old one */
-  WATCH_EVERY = 300,     /* ms between reports to control */
-  WATCH_LOST = 1200,     /* ms without news: another control instance */
+  ENTRIES_GUESS = 8,  /* until control tells how many share a database */
+  LEAD_RETRY = 150,   /* ms until a database that does not lead is asked
+                         again */
+  SETUP_WAIT = 1500,  /* ms that a session waits for the first
+                         configuration; clients wait 2 s */
+  SETUP_UNLED = 2000, /* ms after the start until a configuration of an
+                         instance without a leader is taken: it may be an
+                         old one */
+  WATCH_EVERY = 300,  /* ms between reports to control */
+  WATCH_LOST = 800,   /* ms without news: another control instance */
+  CUT_CONTROL
+  = 1000,           /* ms without a control instance that has a leader, and */
+  CUT_LEADER = 300, /* ms without the primary of a service: this zone is cut
+                       off, and another serves its clients better */
   NOT_READY_TIME = 2200, /* ms after SIGTERM until sessions are closed; the
                             balancer needs two probes a second apart */
   STOP_MARGIN = 400      /* ms before the end of the grace period */
@@ -212,6 +216,7 @@
   int64_t roster;
   msec_t asked;
   msec_t heard;
+  msec_t led;  /* last news of an instance that has a leader */
   bool urgent; /* something happened that control has to know at once */
   bool lost;
 } watcher_t;
@@ -233,6 +238,7 @@
   setup_t *setup;
   apr_hash_t *routes; /* host to route_entry_t */
   msec_t stop_at;     /* SIGTERM, -1: none */
+  msec_t cut_at;      /* cut off since, -1: not */
   msec_t wake;
   msec_t swept;
   atomic_bool ready;
@@ -246,6 +252,11 @@
   counter_t *reads_near;
 };
 
+/* health.c */
+void health_turn (proxy_t *p, msec_t now);
+/* health_leaving: sessions are to go elsewhere.  */
+bool health_leaving (const proxy_t *p, msec_t now);
+
 /* fleet.c */
 service_t *service_get (proxy_t *p, str_t name);
 service_t *service_find (proxy_t *p, const char *name);
--- a/lib/proxy/place.c
+++ b/lib/proxy/place.c
@@ -39,8 +39,7 @@
         best = i;
       if (s[i].idle && (idle < 0 || cost (&s[i]) < cost (&s[idle])))
         idle = i;
-      if (can_open (&s[i])
-          && (grow < 0 || cost (&s[i]) < cost (&s[grow])))
+      if (can_open (&s[i]) && (grow < 0 || cost (&s[i]) < cost (&s[grow])))
         grow = i;
     }
   if (usable == 0)
@@ -65,8 +64,7 @@
         continue;
       if (s[i].idle)
         return (place_t){ PLACE_USE, i };
-      return (place_t){ can_open (&s[i]) ? PLACE_OPEN : PLACE_WAIT,
-                        i };
+      return (place_t){ can_open (&s[i]) ? PLACE_OPEN : PLACE_WAIT, i };
     }
   return (place_t){ PLACE_NONE, -1 };
 }
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -61,7 +61,8 @@
   p->loop = l;
   p->conf = *c;
   p->now = p->started = loop_now (l);
-  p->stop_at = -1;
+  p->stop_at = p->cut_at = -1;
+  p->watch.led = p->now;
   p->wake = p->now;
   p->watch.roster = -1;
   p->watch.asked = p->now - 1000;
@@ -112,15 +113,6 @@
   loop_stop (p->loop);
 }
 
-static bool
-has_databases (const proxy_t *p)
-{
-  for (const service_t *s = p->services; s; s = s->next)
-    if (s->dbs)
-      return true;
-  return false;
-}
-
 msec_t
 proxy_turn (void *arg, msec_t now)
 {
@@ -142,11 +134,7 @@
     }
   if (p->stop_at >= 0)
     stop_turn (p, now);
-  else if (!atomic_load (&p->ready) && p->setup && has_databases (p))
-    {
-      atomic_store (&p->ready, true);
-      log_event (EV_READY, "version=%lld", (long long)p->setup->version);
-    }
+  health_turn (p, now);
   for (session_t *s = p->sessions; s; s = s->next)
     if (s->req.active)
       wake_at (p, s->req.attempt > now && s->req.attempt < s->req.deadline
--- a/lib/proxy/request.c
+++ b/lib/proxy/request.c
@@ -277,8 +277,7 @@
 
   want (s);
   int n = sites (p, s, site, db);
-  place_t at = s->req.lead ? place_lead (site, n)
-                           : place_read (site, n);
+  place_t at = s->req.lead ? place_lead (site, n) : place_read (site, n);
   if (at.kind == PLACE_USE)
     {
       start_on (s, db[at.at]);
@@ -560,7 +559,16 @@
   request_t *r = &s->req;
   link_t *k = s->link;
 
-  if (!r->active || (now < r->deadline && now < r->attempt))
+  if (!r->active)
+    return;
+  /* Nothing here can serve it before the zone is joined again.  */
+  if (p->cut_at >= 0 && r->waiting && r->lead
+      && lead_pick (s->service, now) == NULL)
+    {
+      expire_waiting (s);
+      return;
+    }
+  if (now < r->deadline && now < r->attempt)
     return;
   if (k == NULL)
     {
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -378,7 +378,6 @@
 sweep_one (session_t *s, msec_t now)
 {
   proxy_t *p = s->proxy;
-  msec_t age = p->stop_at < 0 ? -1 : now - p->stop_at;
 
   if (!s->started && now - s->opened >= p->conf.startup)
     {
@@ -412,7 +411,7 @@
       advance (s);
       return;
     }
-  if (age >= NOT_READY_TIME && s->tx == TX_NONE)
+  if (health_leaving (p, now) && s->tx == TX_NONE)
     session_close (s);
 }
 
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -117,6 +117,8 @@
   watcher_t *w = &p->watch;
 
   w->heard = p->now;
+  if (n->led)
+    w->led = p->now;
   if (w->lost)
     log_event (EV_CONTROL_UP, "version=%lld led=%d", (long long)n->version,
                n->led);
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -145,8 +145,8 @@
     }
   reset_timeout (r);
   if (conf->eager)
-    r->deadline = now + RAFT_EAGER / 4
-                  + (msec_t)rng_below (rng, RAFT_EAGER * 3 / 4);
+    r->deadline
+        = now + RAFT_EAGER / 4 + (msec_t)rng_below (rng, RAFT_EAGER * 3 / 4);
   return r;
 }
 
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -246,8 +246,7 @@
 
 static const field_t roster_fields[]
     = { TEXT (roster_t, from), LIST (roster_t, backends, backend),
-        BOOL (roster_t, whole),
-        INT (roster_t, entries) };
+        BOOL (roster_t, whole), INT (roster_t, entries) };
 TABLE (roster);
 
 static const field_t sight_fields[]
@@ -271,13 +270,16 @@
                                        BOOL (news_t, whole),
                                        LIST (news_t, backends, backend),
                                        LIST (news_t, control, member),
-        INT (news_t, entries) };
+                                       INT (news_t, entries) };
 TABLE (news);
 
 static const field_t fleet_record_fields[]
-    = { INT (fleet_record_t, kind),     INT (fleet_record_t, version),
-        TEXT (fleet_record_t, setup),   TEXT (fleet_record_t, document),
-        TEXT (fleet_record_t, service), TEXT (fleet_record_t, id),
+    = { INT (fleet_record_t, kind),
+        INT (fleet_record_t, version),
+        TEXT (fleet_record_t, setup),
+        TEXT (fleet_record_t, document),
+        TEXT (fleet_record_t, service),
+        TEXT (fleet_record_t, id),
         LIST (fleet_record_t, backends, backend) };
 TABLE (fleet_record);
 
