Prefer databases of the own zone more

The weights of placement were 1.5 for another zone and 3 for the primary, so a busy replica near was passed over early.

--- a/lib/proxy/place.c
+++ b/lib/proxy/place.c
@@ -2,9 +2,9 @@
 
 /* Statements that a replica may serve cost the primary a slot that writes
    need; they go there only when replicas are this much slower.  */
-#define LEADER_WEIGHT 3.0
+#define LEADER_WEIGHT 8.0
 /* Between availability zones a statement costs a round trip and paid bytes. */
-#define FAR_WEIGHT 1.5
+#define FAR_WEIGHT 4.0
 /* ms, before the first answer of a database.  */
 #define FIRST_MS 10.0
 
