Free closed database connections at the end of the turn

Cause: a callback could go on with a connection that another callback of the same turn had freed, and told it from a live one by its address alone. Names of functions that lib/entry has too are changed, so that the programs of both data planes link.

--- a/lib/loop/local.h
+++ b/lib/loop/local.h
@@ -8,6 +8,7 @@
   int fd;
   loop_fn_t fn;
   void *arg;
+  struct watched *next; /* of those that last as long as the loop */
 } watched_t;
 
 struct stream
@@ -31,6 +32,7 @@
   int poll;
   msec_t now;
   bool stopping;
+  watched_t *watched;
   stream_t *dirty;
   stream_t *dead;
 };
--- a/lib/loop/loop.c
+++ b/lib/loop/loop.c
@@ -13,7 +13,15 @@
 static apr_status_t
 loop_free (void *arg)
 {
-  close (((loop_t *)arg)->poll);
+  loop_t *l = arg;
+  watched_t *w;
+
+  close (l->poll);
+  while ((w = l->watched) != NULL)
+    {
+      l->watched = w->next;
+      free (w);
+    }
   return APR_SUCCESS;
 }
 
@@ -41,7 +49,9 @@
 
   if (w == NULL)
     return err_set (e, ERR_NOMEM, "loop", "no memory for a watch");
-  *w = (watched_t){ fd, fn, arg };
+  *w = (watched_t){ fd, fn, arg, NULL };
+  w->next = l->watched;
+  l->watched = w;
   return epoll_ctl (l->poll, EPOLL_CTL_ADD, fd, &ev) == 0
          || err_sys (e, "loop", "epoll_ctl");
 }
@@ -84,6 +94,7 @@
   struct epoll_event ev[EVENTS];
   msec_t wake = l->now;
 
+  l->stopping = false;
   while (!l->stopping)
     {
       msec_t wait = wake < 0 ? -1 : wake - msec_now ();
--- a/lib/loop/stream.c
+++ b/lib/loop/stream.c
@@ -145,7 +145,7 @@
 
   if (s == NULL)
     abort ();
-  s->watch = (watched_t){ fd, on_event, s };
+  s->watch = (watched_t){ fd, on_event, s, NULL };
   s->loop = l;
   s->ops = ops;
   s->arg = arg;
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -281,6 +281,6 @@
   for (service_t *s = p->services; s; s = s->next)
     {
       free_gone (s);
-      request_pump (p, s);
+      statement_pump (p, s);
     }
 }
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -89,7 +89,21 @@
   values_free (&k->prepared);
   buf_free (&k->rows);
   buf_free (&k->text);
-  free (k);
+  /* A callback of this turn may still hold it.  */
+  k->next = proxy_of->dead;
+  proxy_of->dead = k;
+}
+
+void
+links_bury (proxy_t *p)
+{
+  link_t *k;
+
+  while ((k = p->dead) != NULL)
+    {
+      p->dead = k->next;
+      free (k);
+    }
 }
 
 void
@@ -126,8 +140,8 @@
     s->link = NULL;
   link_free (k);
   if (s)
-    request_lost (s, NULL);
-  request_pump (p, v);
+    statement_lost (s, NULL);
+  statement_pump (p, v);
 }
 
 void
@@ -223,7 +237,7 @@
     }
   k->state = LINK_IDLE;
   k->db->idle++;
-  request_pump (p, k->db->service);
+  statement_pump (p, k->db->service);
 }
 
 /* ---- sending ---- */
@@ -346,7 +360,7 @@
   if (k->db->leaving || k->db->gone)
     link_close (p, k);
   else
-    request_pump (p, k->db->service);
+    statement_pump (p, k->db->service);
 }
 
 /* The database refused the connection and closes it.  */
@@ -380,8 +394,9 @@
     lead_refused (k->db->service, k->db, p->now);
 }
 
-/* The answer to the oldest step is whole.  False when the link is gone.  */
-static bool
+/* The answer to the oldest step is whole.  The link may be gone after it, or
+   belong to another session.  */
+static void
 finish_step (proxy_t *p, link_t *k, const db_msg_t *m)
 {
   step_t step = k->step[k->first];
@@ -393,7 +408,7 @@
     {
     case STEP_START:
       started (p, k);
-      return false; /* it may have been taken or closed */
+      return;
     case STEP_MARK:
       k->mark_ok = k->fail == FAIL_NONE;
       learn (p, k, m);
@@ -402,8 +417,8 @@
       k->in_tx = m->state != TX_NONE;
       if (s)
         {
-          request_begun (s, k, k->fail, m->pos);
-          return false;
+          statement_begun (s, k, k->fail, m->pos);
+          return;
         }
       break;
     case STEP_OP:
@@ -411,8 +426,8 @@
       db_ok (k->db, p->now);
       if (s)
         {
-          request_answer (s, k, m->state, m->pos);
-          return false;
+          statement_answer (s, k, m->state, m->pos);
+          return;
         }
       break;
     case STEP_ROLLBACK:
@@ -424,15 +439,10 @@
     }
   clear_answer (k);
   if (k->nstep == 0 && s == NULL)
-    {
-      link_release (p, k);
-      return false;
-    }
-  return true;
+    link_release (p, k);
 }
 
-/* False when the link is gone or was given to somebody else.  */
-static bool
+static void
 take (proxy_t *p, link_t *k, const db_msg_t *m)
 {
   uint32_t n = (uint32_t)m->text.n;
@@ -442,36 +452,35 @@
     case DB_ROW:
       buf_add (&k->rows, &n, sizeof n);
       buf_adds (&k->rows, m->text);
-      return true;
+      return;
     case DB_DONE:
       k->done = true;
       k->text.n = k->text.off = 0;
       buf_adds (&k->text, m->text);
-      return true;
+      return;
     case DB_ERROR:
       k->fail = m->fail;
       k->text.n = k->text.off = 0;
       buf_adds (&k->text, m->text);
       if (k->nstep && k->step[k->first] == STEP_START)
-        {
-          start_refused (p, k);
-          return false;
-        }
-      return true;
+        start_refused (p, k);
+      return;
     case DB_READY:
       break;
     }
-  return finish_step (p, k, m);
+  finish_step (p, k, m);
 }
 
-static bool
-known (proxy_t *p, db_t *d, link_t *k)
+static void
+broken (proxy_t *p, link_t *k)
 {
-  (void)p;
-  for (link_t *x = d->links; x; x = x->next)
-    if (x == k)
-      return true;
-  return false;
+  session_t *s = k->owner;
+
+  log_event (EV_DB_BROKEN, "database=%s service=%s", k->db->id,
+             k->db->service->name);
+  link_close (p, k);
+  if (s)
+    statement_lost (s, NULL);
 }
 
 static void
@@ -479,35 +488,23 @@
 {
   link_t *k = arg;
   proxy_t *p = proxy_of;
-  db_t *d = k->db;
+  /* Both outlive a close until the turn ends.  */
+  stream_t *st = k->stream;
   db_msg_t m;
   size_t used;
   int got;
 
   p->now = loop_now (p->loop);
-  while (
-      (got = p->conf.db->decode (buf_str (stream_in (k->stream)), &used, &m))
-      > 0)
+  while ((got = p->conf.db->decode (buf_str (stream_in (st)), &used, &m)) > 0)
     {
-      stream_t *st = k->stream;
       if (k->nstep == 0)
-        {
-          got = -1;
-          break;
-        }
-      bool more = take (p, k, &m);
-      /* Strings of M are views into the buffer until here.  */
-      if (!more && !known (p, d, k))
+        break;
+      take (p, k, &m);
+      if (!stream_up (st))
         return;
       buf_take (stream_in (st), used);
     }
-  if (got < 0)
-    {
-      session_t *s = k->owner;
-      log_event (EV_DB_BROKEN, "database=%s service=%s", d->id,
-                 d->service->name);
-      link_close (p, k);
-      if (s)
-        request_lost (s, NULL);
-    }
+  /* No message, or an answer that nobody asked for.  */
+  if (got != 0)
+    broken (p, k);
 }
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -233,6 +233,7 @@
   int nsession;
   int entries; /* entry instances that share the databases; 0: unknown */
   service_t *services;
+  link_t *dead;
   watcher_t watch;
   apr_pool_t *setup_pool;
   setup_t *setup;
@@ -283,19 +284,21 @@
 void link_run (proxy_t *p, link_t *k, session_t *s);
 void links_sweep (proxy_t *p, service_t *s, msec_t now);
 void links_close_idle (proxy_t *p, db_t *d);
+/* links_bury: frees those that were closed in this turn.  */
+void links_bury (proxy_t *p);
 
 /* request.c */
-void request_start (session_t *s, const op_t *op);
-/* request_placed: tries to place the statement; it may wait.  */
-void request_place (session_t *s);
-void request_pump (proxy_t *p, service_t *v);
-void request_expire (session_t *s, msec_t now);
-/* request_begun, request_answer, request_lost: events of the link.  */
-void request_begun (session_t *s, link_t *k, fail_t f, pos_t pos);
-void request_answer (session_t *s, link_t *k, tx_t state, pos_t pos);
-void request_lost (session_t *s, link_t *k);
-void request_drop (session_t *s);
-void request_fail (session_t *s, fail_t f, str_t text);
+void statement_start (session_t *s, const op_t *op);
+/* statement_place: tries to place the statement; it may wait.  */
+void statement_place (session_t *s);
+void statement_pump (proxy_t *p, service_t *v);
+void statement_expire (session_t *s, msec_t now);
+/* statement_begun, statement_answer, statement_lost: events of the link.  */
+void statement_begun (session_t *s, link_t *k, fail_t f, pos_t pos);
+void statement_answer (session_t *s, link_t *k, tx_t state, pos_t pos);
+void statement_lost (session_t *s, link_t *k);
+void statement_drop (session_t *s);
+void statement_fail (session_t *s, fail_t f, str_t text);
 
 /* session.c */
 void session_accept (proxy_t *p, int fd);
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -120,6 +120,7 @@
   bool due = p->wake >= 0 && now >= p->wake;
 
   p->now = now;
+  links_bury (p);
   if (due)
     p->wake = -1;
   watch_turn (p, now);
@@ -129,7 +130,7 @@
       for (service_t *s = p->services; s; s = s->next)
         {
           links_sweep (p, s, now);
-          request_pump (p, s);
+          statement_pump (p, s);
         }
     }
   if (p->stop_at >= 0)
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -37,7 +37,7 @@
 {
   proxy_t *p = s->proxy;
 
-  request_drop (s);
+  statement_drop (s);
   if (s->link)
     link_release (p, s->link);
   if (s->prev)
@@ -262,7 +262,7 @@
     }
   if (s->tx == TX_NONE && !use_route (s))
     return no_database (s);
-  request_start (s, op);
+  statement_start (s, op);
   return true;
 }
 
@@ -403,7 +403,7 @@
     }
   if (s->req.active)
     {
-      request_expire (s, now);
+      statement_expire (s, now);
       return;
     }
   if (buf_len (stream_in (s->stream)))
--- a/lib/proxy/request.c
+++ b/lib/proxy/statement.c
@@ -34,13 +34,15 @@
 static void
 dequeue (session_t *s)
 {
-  session_t **at = &s->service->waiting;
+  session_t **at;
 
-  if (!s->req.waiting)
+  if (!s->req.waiting || s->service == NULL)
     return;
-  while (*at != s)
+  at = &s->service->waiting;
+  while (*at && *at != s)
     at = &(*at)->next_waiting;
-  *at = s->next_waiting;
+  if (*at)
+    *at = s->next_waiting;
   s->req.waiting = false;
 }
 
@@ -54,14 +56,14 @@
 }
 
 void
-request_drop (session_t *s)
+statement_drop (session_t *s)
 {
   dequeue (s);
   s->req.active = false;
 }
 
 void
-request_fail (session_t *s, fail_t f, str_t text)
+statement_fail (session_t *s, fail_t f, str_t text)
 {
   proxy_t *p = s->proxy;
   request_t *r = &s->req;
@@ -77,7 +79,7 @@
       s->service && s->service->marks.n
           ? (long long)(p->now - marks_fresh (&s->service->marks))
           : -1LL);
-  request_drop (s);
+  statement_drop (s);
   p->conf.client->error (client (s), f, text);
   p->conf.client->ready (client (s), s->tx);
   session_next (s);
@@ -96,7 +98,7 @@
   s->tx = s->req.op.kind == OP_COMMIT ? TX_NONE : TX_FAILED;
   if (s->tx == TX_NONE)
     session_tx_end (s);
-  request_fail (s, FAIL_ABORTED, why);
+  statement_fail (s, FAIL_ABORTED, why);
 }
 
 static void
@@ -104,7 +106,7 @@
 {
   s->tx = TX_NONE;
   session_tx_end (s);
-  request_fail (s, FAIL_INDOUBT, why);
+  statement_fail (s, FAIL_INDOUBT, why);
 }
 
 static void
@@ -170,7 +172,7 @@
   if (d && r->ntried < SITES_MAX && !tried (r, d))
     r->tried[r->ntried++] = d;
   counter_add (s->proxy->retried, 1);
-  request_place (s);
+  statement_place (s);
 }
 
 static int
@@ -292,7 +294,7 @@
 }
 
 void
-request_place (session_t *s)
+statement_place (session_t *s)
 {
   request_t *r = &s->req;
 
@@ -303,7 +305,7 @@
       if (s->tx != TX_NONE)
         abort_tx (s, STR ("no database could run it"));
       else
-        request_fail (s, f, STR ("no database could run it"));
+        statement_fail (s, f, STR ("no database could run it"));
       return;
     }
   if (!place_once (s))
@@ -311,7 +313,7 @@
 }
 
 void
-request_pump (proxy_t *p, service_t *v)
+statement_pump (proxy_t *p, service_t *v)
 {
   session_t *s, *next;
 
@@ -341,7 +343,7 @@
 }
 
 void
-request_start (session_t *s, const op_t *op)
+statement_start (session_t *s, const op_t *op)
 {
   proxy_t *p = s->proxy;
   request_t *r = &s->req;
@@ -364,7 +366,7 @@
       link_run (p, s->link, s);
       return;
     }
-  request_place (s);
+  statement_place (s);
 }
 
 /* ---- events of the connection ---- */
@@ -377,7 +379,7 @@
 }
 
 void
-request_begun (session_t *s, link_t *k, fail_t f, pos_t pos)
+statement_begun (session_t *s, link_t *k, fail_t f, pos_t pos)
 {
   proxy_t *p = s->proxy;
   request_t *r = &s->req;
@@ -427,7 +429,7 @@
         }
       deliver (s, k);
       reset_answer (k);
-      request_drop (s);
+      statement_drop (s);
       link_release (p, k);
       session_next (s);
       return;
@@ -448,7 +450,7 @@
   buf_init (&k->text);
   reset_answer (k);
   link_release (p, k);
-  request_fail (s, f, buf_str (&text));
+  statement_fail (s, f, buf_str (&text));
   buf_free (&text);
 }
 
@@ -473,7 +475,7 @@
         }
       deliver (s, k);
       reset_answer (k);
-      request_drop (s);
+      statement_drop (s);
       if (commit)
         link_release (p, k);
       session_next (s);
@@ -494,12 +496,12 @@
   /* An answer that says nothing of what is kept ends the connection, which
      rolls back; so does the ROLLBACK that a release sends.  */
   link_release (p, k);
-  request_fail (s, f, buf_str (&text));
+  statement_fail (s, f, buf_str (&text));
   buf_free (&text);
 }
 
 void
-request_answer (session_t *s, link_t *k, tx_t state, pos_t pos)
+statement_answer (session_t *s, link_t *k, tx_t state, pos_t pos)
 {
   if (!s->req.active)
     return;
@@ -511,7 +513,7 @@
 
 /* The connection is gone, and with it the answer.  */
 void
-request_lost (session_t *s, link_t *k)
+statement_lost (session_t *s, link_t *k)
 {
   request_t *r = &s->req;
 
@@ -549,11 +551,11 @@
   if (s->tx != TX_NONE)
     abort_tx (s, STR ("no connection in time"));
   else
-    request_fail (s, f, STR ("no connection in time"));
+    statement_fail (s, f, STR ("no connection in time"));
 }
 
 void
-request_expire (session_t *s, msec_t now)
+statement_expire (session_t *s, msec_t now)
 {
   proxy_t *p = s->proxy;
   request_t *r = &s->req;
@@ -587,7 +589,7 @@
   if (now < r->deadline)
     try_other (s, d, FAIL_BUSY);
   else if (s->tx == TX_NONE && r->reads)
-    request_fail (s, FAIL_TIMEOUT, STR ("no answer in time"));
+    statement_fail (s, FAIL_TIMEOUT, STR ("no answer in time"));
   else if (s->tx == TX_NONE
            || (r->op.kind == OP_COMMIT && s->tx_wrote && s->tx_begun))
     in_doubt (s, STR ("no answer in time"));
