--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 PLATFORM_PKGS = apr-1 libxxhash yaml-0.1 libmicrohttpd jansson
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-missing-field-initializers
-CFLAGS_ALL = -std=gnu11 $(WARN) $(OPT) -D_GNU_SOURCE -Iinclude -pthread \
+CFLAGS_ALL = -std=gnu11 $(WARN) $(OPT) -D_GNU_SOURCE -Iinclude -I. -pthread \
 	$(shell pkg-config --cflags $(PKGS) 2>/dev/null) $(EXTRA_CFLAGS)
 LIBS = $(shell pkg-config --libs apr-1 libpq libxxhash yaml-0.1 libmicrohttpd 2>/dev/null) \
 	-lmsgpackc -lhttp_parser -ljansson -lpg_query -pthread -lm $(EXTRA_LDFLAGS)
@@ -43,13 +43,6 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-define prog
-$(B)/bin/$(1): $(patsubst %.c,$(B)/%.o,$(wildcard cmd/$(1)/*.c)) $(LIBA)
-	@mkdir -p $$(@D)
-	$(CC) $(CFLAGS_ALL) -o $$@ $$^ $(LIBS)
-endef
-$(foreach p,$(PROGS),$(eval $(call prog,$(p))))
-
 # The programs of the users' platform need none of PostgreSQL's libraries.
 PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/promote.c platform/api.c,$(wildcard platform/*.c)))
 PLATFORM_LIBS = -Wl,--as-needed $(shell pkg-config --libs $(PLATFORM_PKGS) 2>/dev/null) -lmsgpackc -lhttp_parser -pthread -lm
@@ -63,9 +56,16 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
 
+define prog
+$(B)/bin/$(1): $(patsubst %.c,$(B)/%.o,$(wildcard cmd/$(1)/*.c)) $(LIBA)
+	@mkdir -p $$(@D)
+	$(CC) $(CFLAGS_ALL) -o $$@ $$^ $(LIBS)
+endef
+$(foreach p,$(PROGS),$(eval $(call prog,$(p))))
+
 # Files test/*.c that do not start with test_ are helpers for all tests.
 TESTAUX = $(filter-out $(TESTSRC) $(wildcard test/fuzz_*.c),$(wildcard test/*.c))
-$(B)/test/test_%: $(B)/test/test_%.o $(TESTAUX:%.c=$(B)/%.o) $(LIBA)
+$(B)/test/test_%: $(B)/test/test_%.o $(TESTAUX:%.c=$(B)/%.o) $(PLATFORM_OBJ) $(LIBA)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(CHECK_LIBS) $(LIBS)
 
 $(B)/bench/bench_%: $(B)/bench/bench_%.o $(LIBA)
@@ -89,7 +89,7 @@
 
 $(FB)/%.o: %.c
 	@mkdir -p $(@D)
-	@$(CLANG) -std=gnu11 -D_GNU_SOURCE -Iinclude $(shell pkg-config --cflags $(PKGS) 2>/dev/null) \
+	@$(CLANG) -std=gnu11 -D_GNU_SOURCE -Iinclude -I. $(shell pkg-config --cflags $(PKGS) 2>/dev/null) \
 	  $(FUZZFLAGS) -fsanitize=fuzzer-no-link -MMD -MP -c $< -o $@
 
 $(FB)/fuzz_%: $(FB)/test/fuzz_%.o $(LIBSRC:%.c=$(FB)/%.o)
--- /dev/null
+++ b/test/stage.c
@@ -0,0 +1,603 @@
+#include "stage.h"
+
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* ---- listening ---- */
+
+static int
+listen_on (char *address, size_t size)
+{
+  err_t e = { 0 };
+  struct sockaddr_in sa;
+  socklen_t n = sizeof sa;
+  int fd = rpc_listen (STR ("127.0.0.1:0"), &e);
+
+  ck_assert_int_ge (fd, 0);
+  getsockname (fd, (struct sockaddr *)&sa, &n);
+  snprintf (address, size, "127.0.0.1:%d", ntohs (sa.sin_port));
+  return fd;
+}
+
+/* ---- databases ---- */
+
+typedef struct dbconn
+{
+  struct dbconn *next;
+  stage_db_t *db;
+  stream_t *stream;
+  bool started;
+  bool tx;
+  bool failed;
+  char values[256];
+} dbconn_t;
+
+static void
+say (dbconn_t *c, const char *fmt, ...)
+{
+  char line[512];
+  va_list ap;
+
+  va_start (ap, fmt);
+  vsnprintf (line, sizeof line, fmt, ap);
+  va_end (ap);
+  buf_adds (stream_out (c->stream), str_of (line));
+  stream_flush (c->stream);
+}
+
+static void
+ready (dbconn_t *c)
+{
+  say (c, "READY %c %lld.%lld\r\n",
+       c->failed ? 'E'
+       : c->tx   ? 'T'
+                 : 'I',
+       (long long)c->db->term, (long long)c->db->number);
+}
+
+static void
+refuse_with (dbconn_t *c, const char *code)
+{
+  if (c->tx)
+    c->failed = true;
+  say (c, "ERROR %s %s\r\n", code, c->db->id);
+  ready (c);
+}
+
+static void
+note (dbconn_t *c, const char *line)
+{
+  size_t n = strlen (c->db->log);
+
+  snprintf (c->db->log + n, sizeof c->db->log - n, "%c%s|%s\n",
+            c->tx ? 'T' : 'I', line, c->values);
+}
+
+static bool
+lacks (const stage_db_t *d, const char *after)
+{
+  long long term = 0, number = 0;
+
+  sscanf (after, "AFTER %lld.%lld", &term, &number);
+  return term > d->term || (term == d->term && number > d->number);
+}
+
+static bool
+is_kind (const char *text, const char *kind)
+{
+  size_t n = strlen (kind);
+
+  return n && strncmp (text, kind, n) == 0
+         && (text[n] == ' ' || text[n] == '\0');
+}
+
+static void
+done (dbconn_t *c, const char *row)
+{
+  if (row)
+    say (c, "ROW %s\r\n", row);
+  say (c, "COMPLETE sig-%s\r\n", c->db->id);
+  ready (c);
+}
+
+static bool
+is_write (const char *text)
+{
+  return is_kind (text, "WRITE") || strncmp (text, "EXECUTE w", 9) == 0;
+}
+
+static void
+run (dbconn_t *c, const char *text)
+{
+  stage_db_t *d = c->db;
+  bool read_only = !d->primary;
+
+  if (is_kind (text, "SET"))
+    snprintf (c->values, sizeof c->values, "%s", text + 4);
+  else if (is_kind (text, "RESET"))
+    c->values[0] = '\0';
+  else if (is_kind (text, "ROLLBACK"))
+    c->tx = c->failed = false;
+  else if (is_kind (text, "BEGIN"))
+    {
+      if (read_only && strcmp (text, "BEGIN READ") != 0)
+        {
+          refuse_with (c, "READONLY");
+          return;
+        }
+      c->tx = true;
+    }
+  else if (is_kind (text, "COMMIT"))
+    {
+      if (c->failed)
+        {
+          c->tx = c->failed = false;
+          refuse_with (c, "ABORTED");
+          return;
+        }
+      c->tx = false;
+      d->number++;
+    }
+  else if (is_write (text))
+    {
+      if (read_only)
+        {
+          refuse_with (c, "READONLY");
+          return;
+        }
+      if (!c->tx)
+        d->number++;
+    }
+  done (c, is_kind (text, "READ") || strncmp (text, "EXECUTE r", 9) == 0
+               ? d->id
+               : NULL);
+}
+
+static void
+forget (dbconn_t *c)
+{
+  dbconn_t **at = (dbconn_t **)&c->db->list;
+
+  while (*at != c)
+    at = &(*at)->next;
+  *at = c->next;
+  c->db->conns--;
+  free (c);
+}
+
+static void
+end (dbconn_t *c)
+{
+  stream_close (c->stream);
+  forget (c);
+}
+
+void
+stage_drop (stage_db_t *d)
+{
+  while (d->list)
+    end (d->list);
+}
+
+/* False when the connection is closed.  */
+static bool
+query (dbconn_t *c, char *line)
+{
+  stage_db_t *d = c->db;
+  char *text = strchr (line, ' ');
+
+  note (c, line);
+  if (d->silent)
+    return true;
+  if (text == NULL)
+    return true;
+  text++;
+  if (strncmp (text, "AFTER ", 6) == 0)
+    {
+      bool missing = lacks (d, text);
+      text = strchr (text + 6, ' ') + 1;
+      if (missing)
+        {
+          refuse_with (c, "LAGGING");
+          return true;
+        }
+    }
+  if (d->cut || is_kind (text, d->cut_at))
+    {
+      d->cut_at[0] = '\0';
+      end (c);
+      return false;
+    }
+  if (is_kind (text, d->fail_at))
+    {
+      d->fail_at[0] = '\0';
+      refuse_with (c, d->fail_code);
+      return true;
+    }
+  run (c, text);
+  return true;
+}
+
+static bool
+line (dbconn_t *c, char *text)
+{
+  if (strncmp (text, "STARTUP ", 8) == 0)
+    {
+      if (c->db->mute_start)
+        return true;
+      if (c->db->full)
+        {
+          say (c, "ERROR TOOMANY %s\r\n", c->db->id);
+          end (c);
+          return false;
+        }
+      ready (c);
+      return true;
+    }
+  return query (c, text + 6);
+}
+
+static void
+db_input (void *arg)
+{
+  dbconn_t *c = arg;
+  stream_t *st = c->stream;
+  char text[512];
+
+  for (;;)
+    {
+      str_t in = buf_str (stream_in (st));
+      char *lf = in.n ? memchr (in.p, '\n', in.n) : NULL;
+      if (lf == NULL)
+        return;
+      size_t n = (size_t)(lf - in.p);
+      ck_assert (n > 0 && n < sizeof text && in.p[n - 1] == '\r');
+      memcpy (text, in.p, n - 1);
+      text[n - 1] = '\0';
+      buf_take (stream_in (st), n + 1);
+      if (!line (c, text))
+        return;
+    }
+}
+
+static void
+db_closed (void *arg, err_t *e)
+{
+  dbconn_t *c = arg;
+
+  (void)e;
+  forget (c);
+}
+
+static const stream_ops_t db_ops = { NULL, db_input, db_closed };
+
+static void
+db_accept (void *arg, uint32_t events)
+{
+  stage_db_t *d = arg;
+  int fd;
+
+  (void)events;
+  while ((fd = accept4 (d->fd, NULL, NULL, SOCK_NONBLOCK)) >= 0)
+    {
+      dbconn_t *c = calloc (1, sizeof *c);
+      c->db = d;
+      d->conns++;
+      c->next = d->list;
+      d->list = c;
+      c->stream = stream_accept (d->stage->loop, fd, &db_ops, c);
+    }
+}
+
+int
+stage_saw (const stage_db_t *d, const char *text)
+{
+  int n = 0;
+
+  for (const char *p = d->log; (p = strstr (p, text)) != NULL; p++)
+    n++;
+  return n;
+}
+
+/* ---- control ---- */
+
+typedef struct
+{
+  stage_t *stage;
+  int at;
+  stream_t *stream;
+} watch_conn_t;
+
+static void
+put_setup (stage_t *s, buf_t *out)
+{
+  route_entry_t r[4] = {
+    { STR ("lead"), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 1 },
+    { STR ("near"), STR ("svc"), FRESH_BOUNDED, 1500, s->timeout, 200, 2 },
+    { STR ("own"), STR ("svc"), FRESH_SESSION, 2500, s->timeout, 200, 2 },
+    { STR ("new"), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 2 },
+  };
+  service_entry_t v = { STR ("svc"), 40, 0 };
+  setup_t m = { .version = s->version,
+                .tx_idle = s->tx_idle,
+                .routes = { r, s->extra_route ? 4 : 3 },
+                .services = { &v, 1 } };
+
+  rpc_pack (out, MSG_SETUP, &m);
+}
+
+static void
+news (watch_conn_t *w, const watch_t *m)
+{
+  stage_t *s = w->stage;
+  backend_t b[STAGE_DBS];
+  member_t ctl[2];
+  buf_t setup;
+
+  buf_init (&setup);
+  put_setup (s, &setup);
+  for (int i = 0; i < STAGE_DBS; i++)
+    b[i] = (backend_t){ .id = str_of (s->db[i].id),
+                        .service = STR ("svc"),
+                        .address = str_of (s->db[i].address),
+                        .zone = i == 1 ? STR ("z1") : STR ("z2"),
+                        .born = 1,
+                        .seq = s->roster + 1,
+                        .primary = s->db[i].primary,
+                        .leaving = s->db[i].leaving };
+  for (int i = 0; i < 2; i++)
+    ctl[i]
+        = (member_t){ i + 1, true, STR ("c"), str_of (s->control_address[i]) };
+  news_t n
+      = { .seq = m->seq,
+          .boot = 1,
+          .led = !s->control_unled[w->at],
+          .version = s->version,
+          .setup = m->version < s->version ? buf_str (&setup) : (str_t){ 0 },
+          .roster = s->roster,
+          .whole = true,
+          .backends = { b, STAGE_DBS },
+          .control = { ctl, 2 },
+          .entries = 1 };
+  if (s->version == 0)
+    n.setup = (str_t){ 0 };
+  rpc_encode (stream_out (w->stream), MSG_NEWS, &n);
+  stream_flush (w->stream);
+  buf_free (&setup);
+}
+
+static void
+watch_input (void *arg)
+{
+  watch_conn_t *w = arg;
+  str_t body;
+
+  while (rpc_frame (stream_in (w->stream), &body, NULL) > 0)
+    {
+      apr_pool_t *pool;
+      msgtype_t type;
+      apr_pool_create (&pool, NULL);
+      watch_t *m = rpc_decode (pool, body, &type, NULL);
+      ck_assert (m && type == MSG_WATCH);
+      if (!w->stage->control_mute[w->at])
+        news (w, m);
+      buf_take (stream_in (w->stream), body.n + 4);
+      apr_pool_destroy (pool);
+    }
+}
+
+static void
+watch_closed (void *arg, err_t *e)
+{
+  (void)e;
+  free (arg);
+}
+
+static const stream_ops_t watch_ops = { NULL, watch_input, watch_closed };
+
+static void
+watch_accept (stage_t *s, int at)
+{
+  int fd;
+
+  while ((fd = accept4 (s->control[at], NULL, NULL, SOCK_NONBLOCK)) >= 0)
+    {
+      watch_conn_t *w = calloc (1, sizeof *w);
+      w->stage = s;
+      w->at = at;
+      w->stream = stream_accept (s->loop, fd, &watch_ops, w);
+    }
+}
+
+static void
+accept_0 (void *arg, uint32_t events)
+{
+  (void)events;
+  watch_accept (arg, 0);
+}
+
+static void
+accept_1 (void *arg, uint32_t events)
+{
+  (void)events;
+  watch_accept (arg, 1);
+}
+
+/* ---- clients ---- */
+
+static void
+client_input (void *arg)
+{
+  stage_client_t *c = arg;
+  str_t in = buf_str (stream_in (c->stream));
+  size_t n = strlen (c->got);
+
+  snprintf (c->got + n, sizeof c->got - n, STR_FMT, STR_ARG (in));
+  buf_take (stream_in (c->stream), in.n);
+}
+
+static void
+client_closed (void *arg, err_t *e)
+{
+  (void)e;
+  ((stage_client_t *)arg)->closed = true;
+}
+
+static const stream_ops_t client_ops = { NULL, client_input, client_closed };
+
+stage_client_t *
+stage_client (stage_t *s)
+{
+  stage_client_t *c = apr_pcalloc (s->pool, sizeof *c);
+  char address[32];
+  err_t e = { 0 };
+
+  snprintf (address, sizeof address, "127.0.0.1:%d", s->port);
+  c->stage = s;
+  c->stream
+      = stream_dial (s->loop, str_of (address), 3000, &client_ops, c, &e);
+  ck_assert (c->stream);
+  return c;
+}
+
+void
+stage_send (stage_client_t *c, const char *text)
+{
+  buf_adds (stream_out (c->stream), str_of (text));
+  stream_flush (c->stream);
+}
+
+typedef struct
+{
+  stage_client_t *c;
+  const char *want;
+} wait_t;
+
+static bool
+has (void *arg)
+{
+  const wait_t *w = arg;
+
+  return strstr (w->c->got, w->want) || w->c->closed;
+}
+
+bool
+stage_ask (stage_client_t *c, const char *text, const char *want)
+{
+  wait_t w = { c, want };
+
+  c->got[0] = '\0';
+  stage_send (c, text);
+  stage_run (c->stage, 4000, has, &w);
+  return strstr (c->got, want) != NULL;
+}
+
+stage_client_t *
+stage_start (stage_t *s, const char *host)
+{
+  stage_client_t *c = stage_client (s);
+  char text[64];
+
+  snprintf (text, sizeof text, "STARTUP %s u1\r\n", host);
+  ck_assert_msg (stage_ask (c, text, "READY I -\r\n"), "got: %s", c->got);
+  return c;
+}
+
+/* ---- the whole ---- */
+
+static msec_t
+turn (void *arg, msec_t now)
+{
+  stage_t *s = arg;
+  msec_t wake = proxy_turn (s->proxy, now);
+
+  if (now >= s->until || (s->done && s->done (s->arg)))
+    loop_stop (s->loop);
+  return wake >= 0 && wake < s->until ? wake : s->until;
+}
+
+bool
+stage_run (stage_t *s, msec_t ms, bool (*when) (void *arg), void *arg)
+{
+  s->until = msec_now () + ms;
+  s->done = when;
+  s->arg = arg;
+  loop_run (s->loop, turn, s, NULL);
+  return when && when (arg);
+}
+
+static bool
+is_ready (void *arg)
+{
+  return proxy_ready (((stage_t *)arg)->proxy);
+}
+
+stage_t *
+stage_new (bool wait)
+{
+  apr_pool_t *pool;
+  err_t e = { 0 };
+
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+  log_open ("test", 0);
+  stage_t *s = apr_pcalloc (pool, sizeof *s);
+  s->pool = pool;
+  s->loop = loop_new (pool, &e);
+  s->version = wait ? 1 : 0;
+  s->tx_idle = 3000;
+  s->timeout = 500;
+  for (int i = 0; i < STAGE_DBS; i++)
+    {
+      stage_db_t *d = &s->db[i];
+      d->stage = s;
+      snprintf (d->id, sizeof d->id, "db%d", i);
+      d->primary = i == 0;
+      d->term = 1;
+      d->number = 10;
+      d->fd = listen_on (d->address, sizeof d->address);
+      loop_watch (s->loop, d->fd, db_accept, d, NULL);
+    }
+  str_t *ctl = apr_palloc (pool, 2 * sizeof *ctl);
+  for (int i = 0; i < 2; i++)
+    {
+      s->control[i]
+          = listen_on (s->control_address[i], sizeof s->control_address[i]);
+      ctl[i] = str_of (s->control_address[i]);
+    }
+  loop_watch (s->loop, s->control[0], accept_0, s, NULL);
+  loop_watch (s->loop, s->control[1], accept_1, s, NULL);
+  char own[32];
+  int fd = listen_on (own, sizeof own);
+  close (fd);
+  s->port = atoi (strchr (own, ':') + 1);
+  proxy_conf_t c = { .name = STR ("p1"),
+                     .zone = STR ("z1"),
+                     .listen = str_dup (pool, str_of (own)),
+                     .control = ctl,
+                     .ncontrol = 2,
+                     .grace = 6000,
+                     .startup = 700,
+                     .client = &pf_client,
+                     .db = &pf_db };
+  s->proxy = proxy_new (pool, s->loop, &c, &e);
+  ck_assert (s->proxy);
+  if (wait)
+    ck_assert (stage_run (s, 3000, is_ready, s));
+  return s;
+}
+
+void
+stage_free (stage_t *s)
+{
+  for (int i = 0; i < STAGE_DBS; i++)
+    close (s->db[i].fd);
+  close (s->control[0]);
+  close (s->control[1]);
+  apr_pool_destroy (s->pool);
+}
--- /dev/null
+++ b/test/stage.h
@@ -0,0 +1,91 @@
+/* A proxy on loopback in the test's own loop, with a stand-in control
+   instance, stand-in databases and clients, in the line protocol.  */
+
+#ifndef STAGE_H
+#define STAGE_H
+
+#include "platform/platform.h"
+
+#include <check.h>
+
+enum
+{
+  STAGE_DBS = 3,
+  STAGE_LOG = 4096
+};
+
+typedef struct stage stage_t;
+
+/* What a stand-in database does with the next statements.  */
+typedef struct
+{
+  stage_t *stage;
+  int fd;
+  char id[16];
+  char address[32];
+  bool primary;
+  bool leaving;
+  bool silent;      /* takes statements and never answers */
+  bool mute_start;  /* never answers a start-up */
+  bool full;        /* refuses connections */
+  bool cut;         /* closes the connection instead of answering OP */
+  char cut_at[16];  /* ... of this kind, e.g. COMMIT */
+  char fail_at[16]; /* fails this kind once with FAIL_CODE */
+  char fail_code[16];
+  int64_t term;
+  int64_t number;
+  int64_t seq;
+  int conns;
+  void *list;          /* of connections */
+  char log[STAGE_LOG]; /* statements run, one a line */
+} stage_db_t;
+
+typedef struct
+{
+  stage_t *stage;
+  stream_t *stream;
+  bool closed;
+  char got[STAGE_LOG]; /* everything received */
+} stage_client_t;
+
+struct stage
+{
+  apr_pool_t *pool;
+  loop_t *loop;
+  proxy_t *proxy;
+  stage_db_t db[STAGE_DBS];
+  int port;
+  int control[2]; /* listening sockets of two control instances */
+  char control_address[2][32];
+  bool control_mute[2]; /* takes connections and says nothing */
+  bool control_unled[2];
+  int64_t version;
+  int64_t roster;
+  int64_t tx_idle;
+  int64_t timeout; /* of statements */
+  bool extra_route;
+  msec_t until;
+  bool (*done) (void *arg);
+  void *arg;
+};
+
+/* stage_new: WAIT for the proxy to be ready.  Hosts: "lead" (reads of the
+   primary), "near" (reads up to 1500 ms old), "own" (own writes, up to
+   2500 ms).  */
+stage_t *stage_new (bool wait);
+void stage_free (stage_t *s);
+/* stage_run: MS of the real clock, or until DONE.  */
+bool stage_run (stage_t *s, msec_t ms, bool (*done) (void *arg), void *arg);
+stage_client_t *stage_client (stage_t *s);
+void stage_send (stage_client_t *c, const char *text);
+/* stage_ask: sends TEXT and waits until the answer holds WANT.  */
+bool stage_ask (stage_client_t *c, const char *text, const char *want);
+/* stage_start: a client with an open session.  */
+stage_client_t *stage_start (stage_t *s, const char *host);
+/* stage_saw: how often database I ran something that holds TEXT.  */
+int stage_saw (const stage_db_t *d, const char *text);
+
+/* stage_drop: database D closes all its connections.  */
+void stage_drop (stage_db_t *d);
+
+#endif
--- /dev/null
+++ b/test/test_fleet.c
@@ -0,0 +1,363 @@
+#include "fleet.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- proofs of freshness ---- */
+
+/* Guards against a sample that is too old, and against asking more of a
+   replica than the bound does.  */
+START_TEST (oldest_young_sample_is_used)
+{
+  marks_t m = { 0 };
+  pos_t need;
+
+  ck_assert (!marks_need (&m, 5000, 1500, (pos_t){ 0 }, &need));
+  for (int i = 0; i < 30; i++)
+    marks_add (&m, 1000 + 100 * i, (pos_t){ 1, i });
+  ck_assert (marks_need (&m, 4000, 1500, (pos_t){ 0 }, &need));
+  ck_assert_int_eq (need.number, 15);
+  ck_assert (!marks_need (&m, 5401, 1500, (pos_t){ 0 }, &need));
+  ck_assert (marks_need (&m, 4000, 1500, (pos_t){ 1, 40 }, &need));
+  ck_assert_int_eq (need.number, 40);
+}
+END_TEST
+
+/* Guards against waiting for a position that a promotion rolled back: no log
+   ever reaches it.  */
+START_TEST (later_term_drops_older_positions)
+{
+  marks_t m = { 0 };
+  pos_t need;
+
+  marks_add (&m, 1000, (pos_t){ 1, 50 });
+  marks_add (&m, 1001, (pos_t){ 2, 40 });
+  marks_add (&m, 1500, (pos_t){ 1, 60 });
+  ck_assert (marks_need (&m, 1600, 1500, (pos_t){ 1, 55 }, &need));
+  ck_assert_int_eq (need.term, 2);
+  ck_assert_int_eq (need.number, 40);
+}
+END_TEST
+
+/* ---- placement ---- */
+
+/* Guards against reads that take the primary's slots, or that leave the own
+   zone, without need.  */
+START_TEST (reads_prefer_near_replicas)
+{
+  site_t s[3] = {
+    { .leader = true,
+      .near = true,
+      .usable = true,
+      .idle = 1,
+      .open = 1,
+      .limit = 2,
+      .ms = 10 },
+    { .usable = true, .idle = 1, .open = 1, .limit = 2, .ms = 10 },
+    { .near = true,
+      .usable = true,
+      .idle = 1,
+      .open = 1,
+      .limit = 2,
+      .ms = 10 },
+  };
+
+  ck_assert_int_eq (place_read (s, 3).at, 2);
+  s[2].idle = 0;
+  s[2].busy = 1;
+  s[2].limit = 1;
+  ck_assert_int_eq (place_read (s, 3).at, 1);
+  s[1].usable = false;
+  ck_assert_int_eq (place_read (s, 3).at, 0);
+  ck_assert_int_eq (place_lead (s, 3).at, 0);
+  s[0].usable = s[2].usable = false;
+  ck_assert_int_eq (place_read (s, 3).kind, PLACE_NONE);
+  ck_assert_int_eq (place_lead (s, 3).kind, PLACE_NONE);
+}
+END_TEST
+
+/* Guards against many connections being opened at once: each takes a slot of
+   the database for a while.  */
+START_TEST (one_connection_is_opened_at_a_time)
+{
+  site_t s = { .leader = true, .usable = true, .limit = 3 };
+
+  ck_assert_int_eq (place_lead (&s, 1).kind, PLACE_OPEN);
+  s.opening = 1;
+  ck_assert_int_eq (place_lead (&s, 1).kind, PLACE_WAIT);
+  ck_assert_int_eq (place_read (&s, 1).kind, PLACE_WAIT);
+  s.opening = 0;
+  s.open = 3;
+  ck_assert_int_eq (place_lead (&s, 1).kind, PLACE_WAIT);
+}
+END_TEST
+
+/* ---- roster ---- */
+
+static backend_t
+beat (const char *id, const char *address, int64_t born, int64_t seq)
+{
+  return (backend_t){ .id = str_of (id),
+                      .service = STR ("svc"),
+                      .address = str_of (address),
+                      .zone = STR ("z"),
+                      .born = born,
+                      .seq = seq };
+}
+
+/* Guards against a heartbeat that was held up undoing a later one.  */
+START_TEST (late_heartbeat_changes_nothing)
+{
+  roster_table_t r = { 0 };
+  backend_t b = beat ("a", "h:1", 10, 5);
+  err_t e = { 0 };
+
+  ck_assert (roster_beat (&r, &b, 100, &e));
+  b = beat ("a", "h:1", 10, 4);
+  b.leaving = true;
+  ck_assert (!roster_beat (&r, &b, 100, &e));
+  ck_assert_int_eq (e.code, ERR_STALE);
+  ck_assert (!r.at[0].leaving);
+  b = beat ("a", "h:1", 11, 1);
+  ck_assert (roster_beat (&r, &b, 100, &e));
+  ck_assert_int_eq (r.at[0].born, 11);
+  b = beat ("a", "h:1", 10, 99);
+  ck_assert (!roster_beat (&r, &b, 100, &e));
+  roster_free (&r);
+}
+END_TEST
+
+/* Guards against a database that left getting work again, by a heartbeat that
+   was under way.  */
+START_TEST (leaving_and_gone_are_kept)
+{
+  roster_table_t r = { 0 };
+  backend_t b = beat ("a", "h:1", 10, 5);
+  err_t e = { 0 };
+
+  b.leaving = true;
+  roster_beat (&r, &b, 100, &e);
+  b = beat ("a", "h:1", 10, 6);
+  ck_assert (roster_beat (&r, &b, 100, &e));
+  ck_assert (r.at[0].leaving);
+  b = (backend_t){ .id = STR ("a"), .gone = true, .born = -1 };
+  ck_assert (roster_beat (&r, &b, 100, &e));
+  ck_assert (r.at[0].gone);
+  b = beat ("a", "h:1", 10, 7);
+  ck_assert (!roster_beat (&r, &b, 100, &e));
+  b = beat ("a", "h:1", 20, 0);
+  ck_assert (roster_beat (&r, &b, 100, &e));
+  ck_assert (!r.at[0].gone && !r.at[0].leaving);
+  roster_free (&r);
+}
+END_TEST
+
+/* Guards against two databases at one address: addresses are used again.  */
+START_TEST (later_start_takes_the_address)
+{
+  roster_table_t r = { 0 };
+  backend_t a = beat ("a", "h:1", 10, 5), b = beat ("b", "h:1", 20, 1);
+  err_t e = { 0 };
+
+  roster_beat (&r, &a, 100, &e);
+  roster_beat (&r, &b, 100, &e);
+  ck_assert (roster_find (&r, STR ("a"))->gone);
+  ck_assert (!roster_find (&r, STR ("b"))->gone);
+  roster_free (&r);
+}
+END_TEST
+
+/* Guards against harm by a heartbeat of which no database can be made.  */
+START_TEST (unusable_heartbeat_is_refused)
+{
+  roster_table_t r = { 0 };
+  backend_t b = beat ("", "h:1", 1, 1);
+  err_t e = { 0 };
+
+  ck_assert (!roster_beat (&r, &b, 100, &e));
+  ck_assert_int_eq (e.code, ERR_RANGE);
+  b = beat ("a", "h:1", 1, -1);
+  ck_assert (!roster_beat (&r, &b, 100, &e));
+  ck_assert_uint_eq (r.n, 0);
+  roster_free (&r);
+}
+END_TEST
+
+/* ---- takeover ---- */
+
+typedef struct
+{
+  roster_table_t r;
+  takeover_t t;
+  msec_t now;
+} scene_t;
+
+static void
+scene (scene_t *s)
+{
+  backend_t p = beat ("p", "h:1", 1, 1);
+  backend_t a = beat ("a", "h:2", 1, 1);
+  backend_t b = beat ("b", "h:3", 1, 1);
+  err_t e = { 0 };
+
+  *s = (scene_t){ .now = 10000 };
+  p.primary = true;
+  roster_beat (&s->r, &p, s->now, &e);
+  roster_beat (&s->r, &a, s->now, &e);
+  roster_beat (&s->r, &b, s->now, &e);
+  takeover_init (&s->t, STR ("svc"), s->now - HOLD_OFF);
+  takeover_tick (&s->t, &s->r, s->now);
+  ck_assert_str_eq (s->t.primary, "p");
+}
+
+static void
+silence (scene_t *s, msec_t ms)
+{
+  takeover_probe (&s->t, STR ("p"), false, false, s->now, s->now + PROBE_TIME);
+  s->now += ms;
+}
+
+static take_act_t
+tick (scene_t *s)
+{
+  return takeover_tick (&s->t, &s->r, s->now);
+}
+
+/* Guards against a lost primary that is not replaced, or by another database
+   than the most advanced one, or under a token that does not grow.  */
+START_TEST (lost_primary_is_replaced_by_the_most_advanced)
+{
+  scene_t s;
+
+  scene (&s);
+  silence (&s, LOST_SILENT - 1);
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  s.now += 1;
+  ck_assert_int_eq (tick (&s).kind, TAKE_SURVEY);
+  takeover_position (&s.t, STR ("a"), (pos_t){ 1, 7 });
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  takeover_position (&s.t, STR ("b"), (pos_t){ 1, 9 });
+  take_act_t a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKE_INTENT);
+  ck_assert_str_eq (a.id, "b");
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  takeover_recorded (&s.t, STR ("b"), 42, s.now);
+  a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKE_CALL);
+  ck_assert_int_eq (a.token, 42);
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  takeover_called (&s.t, 42, CALL_DONE, s.now);
+  s.now += 1000;
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against a promotion without a fault: the leader's own path to the
+   primary is harmed, and entry instances are answered.  */
+START_TEST (primary_that_answers_others_is_kept)
+{
+  scene_t s;
+
+  scene (&s);
+  for (int i = 0; i < 100; i++)
+    {
+      silence (&s, 100);
+      takeover_sight (&s.t, STR ("p"), s.now - 50);
+      ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+    }
+  s.now += 100;
+  takeover_probe (&s.t, STR ("p"), true, false, s.now, s.now);
+  s.now += 10000;
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against a promotion after the primary has come back meanwhile.  */
+START_TEST (survey_is_given_up_when_the_primary_answers)
+{
+  scene_t s;
+
+  scene (&s);
+  silence (&s, LOST_SILENT);
+  ck_assert_int_eq (tick (&s).kind, TAKE_SURVEY);
+  takeover_probe (&s.t, STR ("p"), true, false, s.now, s.now);
+  takeover_position (&s.t, STR ("a"), (pos_t){ 1, 7 });
+  takeover_position (&s.t, STR ("b"), (pos_t){ 1, 7 });
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  ck_assert_int_eq (s.t.phase, PHASE_WATCH);
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against a call without an answer being followed by one for another
+   database under the same token: the first may still run later.  */
+START_TEST (unanswered_call_is_made_again_as_it_was)
+{
+  scene_t s;
+
+  scene (&s);
+  silence (&s, LOST_SILENT);
+  tick (&s);
+  takeover_position (&s.t, STR ("a"), (pos_t){ 1, 7 });
+  takeover_position (&s.t, STR ("b"), (pos_t){ 1, 6 });
+  ck_assert_int_eq (tick (&s).kind, TAKE_INTENT);
+  takeover_recorded (&s.t, STR ("a"), 5, s.now);
+  ck_assert_int_eq (tick (&s).kind, TAKE_CALL);
+  takeover_called (&s.t, 5, CALL_UNKNOWN, s.now);
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  s.now += CALL_TIME;
+  take_act_t a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKE_CALL);
+  ck_assert_str_eq (a.id, "a");
+  ck_assert_int_eq (a.token, 5);
+  takeover_called (&s.t, 5, CALL_REFUSED, s.now);
+  ck_assert_int_eq (s.t.phase, PHASE_WATCH);
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against a primary that leaves being waited for until it is gone.  */
+START_TEST (leaving_primary_is_replaced)
+{
+  scene_t s;
+  backend_t p = beat ("p", "h:1", 1, 2);
+  err_t e = { 0 };
+
+  scene (&s);
+  p.primary = p.leaving = true;
+  roster_beat (&s.r, &p, s.now, &e);
+  s.now += 10;
+  ck_assert_int_eq (tick (&s).kind, TAKE_SURVEY);
+  roster_free (&s.r);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("fleet");
+  TCase *t = tcase_create ("decisions");
+
+  tcase_add_test (t, oldest_young_sample_is_used);
+  tcase_add_test (t, later_term_drops_older_positions);
+  tcase_add_test (t, reads_prefer_near_replicas);
+  tcase_add_test (t, one_connection_is_opened_at_a_time);
+  tcase_add_test (t, late_heartbeat_changes_nothing);
+  tcase_add_test (t, leaving_and_gone_are_kept);
+  tcase_add_test (t, later_start_takes_the_address);
+  tcase_add_test (t, unusable_heartbeat_is_refused);
+  tcase_add_test (t, lost_primary_is_replaced_by_the_most_advanced);
+  tcase_add_test (t, primary_that_answers_others_is_kept);
+  tcase_add_test (t, survey_is_given_up_when_the_primary_answers);
+  tcase_add_test (t, unanswered_call_is_made_again_as_it_was);
+  tcase_add_test (t, leaving_primary_is_replaced);
+  suite_add_tcase (s, t);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_ENV);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed != 0;
+}
--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,249 @@
+#include "platform/platform.h"
+
+#include <apr_general.h>
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+static apr_pool_t *pool;
+
+static bool
+config (const char *body, errcode_t *code)
+{
+  int64_t version;
+  err_t e = { 0 };
+  buf_t out;
+
+  buf_init (&out);
+  bool ok = pf_config (pool, str_of (body), &version, &out, &e);
+  buf_free (&out);
+  *code = e.code;
+  return ok;
+}
+
+#define SERVICES "\"services\":[{\"name\":\"s\",\"max-conns\":22}]"
+#define ROUTE(host, more)                                                     \
+  "{\"name\":\"r\",\"host\":\"" host "\",\"path-prefix\":\"/\","              \
+  "\"service\":\"s\"" more "}"
+#define GOOD ",\"timeout-ms\":800"
+
+/* Guards against an invalid configuration being acknowledged.  */
+START_TEST (invalid_configurations_are_refused)
+{
+  static const struct
+  {
+    const char *body;
+    errcode_t code;
+  } bad[] = {
+    { "{\"version\":3,", ERR_SYNTAX },
+    { "[]", ERR_SYNTAX },
+    { "{" SERVICES ",\"routes\":[]}", ERR_BAD_TYPE },
+    { "{\"version\":\"3\"," SERVICES ",\"routes\":[]}", ERR_BAD_TYPE },
+    { "{\"version\":0," SERVICES ",\"routes\":[]}", ERR_RANGE },
+    { "{\"version\":3,\"routes\":[]}", ERR_BAD_TYPE },
+    { "{\"version\":3," SERVICES "}", ERR_BAD_TYPE },
+    { "{\"version\":3," SERVICES ",\"routes\":[" ROUTE ("a", "") "]}",
+      ERR_BAD_TYPE },
+    { "{\"version\":3," SERVICES
+      ",\"routes\":[" ROUTE ("a", ",\"timeout-ms\":0") "]}",
+      ERR_RANGE },
+    { "{\"version\":3," SERVICES
+      ",\"routes\":[" ROUTE ("a", GOOD ",\"route-kind\":\"other\"") "]}",
+      ERR_RANGE },
+    { "{\"version\":3," SERVICES
+      ",\"routes\":[" ROUTE ("a", GOOD) "," ROUTE ("a", GOOD) "]}",
+      ERR_DUPLICATE_KEY },
+    { "{\"version\":3,\"services\":[],\"routes\":[" ROUTE ("a", GOOD) "]}",
+      ERR_REFERENCE },
+  };
+  errcode_t code;
+
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    {
+      ck_assert_msg (!config (bad[i].body, &code), "%s", bad[i].body);
+      ck_assert_msg (code == bad[i].code, "%s: %s", bad[i].body,
+                     err_name (code));
+    }
+  ck_assert (config ("{\"version\":3," SERVICES ",\"routes\":[" ROUTE (
+                         "a", GOOD) "," ROUTE ("b", GOOD) "],\"new\":1}",
+                     &code));
+}
+END_TEST
+
+static bool
+beat (const char *body, backend_t *b)
+{
+  err_t e = { 0 };
+
+  return pf_beat (pool, STR ("i-1"), str_of (body), false, b, &e);
+}
+
+/* Guards against a database made of fields that are missing or of another
+   type.  */
+START_TEST (unreadable_heartbeats_are_refused)
+{
+  static const char *const bad[] = {
+    "",
+    "{",
+    "{}",
+    "{\"service\":\"s\",\"addr\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\","
+    "\"db-role\":\"primary\"}",
+    "{\"service\":\"s\",\"addr\":\"h:1\",\"zone\":\"z\",\"state\":\"odd\","
+    "\"db-role\":\"primary\",\"seq\":1}",
+    "{\"service\":\"s\",\"addr\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\","
+    "\"db-role\":\"both\",\"seq\":1}",
+    "{\"service\":\"s\",\"addr\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\","
+    "\"db-role\":\"primary\",\"seq\":1,\"born\":\"x\"}",
+    "{\"service\":7,\"addr\":\"h:1\",\"zone\":\"z\",\"state\":\"ready\","
+    "\"db-role\":\"primary\",\"seq\":1}",
+  };
+  backend_t b;
+
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    ck_assert_msg (!beat (bad[i], &b), "%s", bad[i]);
+  ck_assert (beat ("{\"service\":\"s\",\"addr\":\"h:1\",\"zone\":\"z\","
+                   "\"state\":\"draining\",\"db-role\":\"replica\","
+                   "\"seq\":4,\"born\":17,\"slots\":3}",
+                   &b));
+  ck_assert (b.leaving && !b.primary);
+  ck_assert_int_eq (b.born, 17);
+  ck_assert_int_eq (b.slots, 3);
+}
+END_TEST
+
+static client_msg_t
+client (const char *line)
+{
+  client_msg_t m = { 0 };
+  size_t used;
+
+  ck_assert_int_eq (pf_client.decode (str_of (line), &used, &m), 1);
+  ck_assert_uint_eq (used, strlen (line));
+  return m;
+}
+
+static void
+through (const char *line)
+{
+  client_msg_t m = client (line);
+  buf_t b;
+
+  buf_init (&b);
+  pf_db.op (&b, &m.op, m.op.name, (pos_t){ 0 });
+  ck_assert_msg (str_eq (buf_str (&b), str_of (line)), "%s" STR_FMT, line,
+                 STR_ARG (buf_str (&b)));
+  buf_free (&b);
+}
+
+/* Guards against a changed text of a statement: databases count it as one that
+   nobody sent.  */
+START_TEST (statements_pass_unchanged)
+{
+  through ("QUERY 5c BEGIN\r\n");
+  through ("QUERY 5c BEGIN READ\r\n");
+  through ("QUERY 5c COMMIT\r\n");
+  through ("QUERY 5c READ 1a4\r\n");
+  through ("QUERY 5c WRITE 1a4  two  blanks \r\n");
+  through ("QUERY 5c EXECUTE s1 1a4 xkq\r\n");
+  through ("QUERY 5c PREPARE s1 WRITE q2c\r\n");
+}
+END_TEST
+
+/* Guards against the proxy's own id, or a position, taken from a client.  */
+START_TEST (reserved_words_are_malformed)
+{
+  ck_assert_int_eq (client ("QUERY - READ 1\r\n").op.kind, OP_MALFORMED);
+  ck_assert_int_eq (client ("QUERY a AFTER 1.2 READ 1\r\n").op.kind,
+                    OP_MALFORMED);
+  ck_assert_int_eq (client ("QUERY a STATUS\r\n").op.kind, OP_MALFORMED);
+  ck_assert_int_eq (client ("QUERY a RESET\r\n").op.kind, OP_MALFORMED);
+  ck_assert_int_eq (client ("QUERY a READ\r\n").op.kind, OP_MALFORMED);
+  ck_assert_int_eq (client ("QUERY a PREPARE s BOTH q\r\n").op.kind,
+                    OP_MALFORMED);
+}
+END_TEST
+
+/* Guards against a line without an end that fills the memory.  */
+START_TEST (endless_line_is_refused)
+{
+  static char big[(1 << 20) + 16];
+  client_msg_t m;
+  size_t used;
+
+  memset (big, 'x', sizeof big);
+  ck_assert_int_eq (pf_client.decode ((str_t){ big, sizeof big }, &used, &m),
+                    -1);
+  ck_assert_int_eq (pf_client.decode ((str_t){ big, 1000 }, &used, &m), 0);
+}
+END_TEST
+
+/* Guards against answers of databases that are read wrong.  */
+START_TEST (answers_are_read)
+{
+  db_msg_t m;
+  db_status_t st;
+  size_t used;
+
+  ck_assert_int_eq (pf_db.decode (STR ("READY E 3.1209\r\n"), &used, &m), 1);
+  ck_assert (m.kind == DB_READY && m.state == TX_FAILED && m.pos.term == 3
+             && m.pos.number == 1209);
+  ck_assert_int_eq (pf_db.decode (STR ("READY X 3.1\r\n"), &used, &m), -1);
+  ck_assert_int_eq (pf_db.decode (STR ("READY I 3.x\r\n"), &used, &m), -1);
+  ck_assert_int_eq (pf_db.decode (STR ("ERROR READONLY i-7\r\n"), &used, &m),
+                    1);
+  ck_assert (m.fail == FAIL_READONLY && str_eq (m.text, STR ("i-7")));
+  ck_assert_int_eq (pf_db.decode (STR ("ERROR NEW why\r\n"), &used, &m), 1);
+  ck_assert (m.fail == FAIL_OTHER && str_eq (m.text, STR ("NEW why")));
+  ck_assert_int_eq (pf_db.decode (STR ("OTHER x\r\n"), &used, &m), -1);
+  ck_assert (pf_db.status_row (STR ("replica 3 3.1209 0 12 2 17"), &st));
+  ck_assert (!st.primary && st.term == 3 && st.received.number == 1209);
+  ck_assert (!pf_db.status_row (STR ("replica"), &st));
+}
+END_TEST
+
+/* Guards against a process that starts on settings that it cannot use.  */
+START_TEST (settings_are_checked)
+{
+  err_t e = { 0 };
+  pf_settings_t *s;
+
+  ck_assert_ptr_null (pf_settings_parse (pool, STR ("{"), &e));
+  ck_assert_int_eq (e.code, ERR_SYNTAX);
+  ck_assert_ptr_null (pf_settings_parse (pool, STR ("{}"), &e));
+  ck_assert_int_eq (e.code, ERR_MISSING_KEY);
+  s = pf_settings_parse (
+      pool,
+      STR ("{\"node-name\":\"n\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","
+           "\"internal-ports\":[7440,7455],\"seeds\":[\"10.0.0.2:8782\"],"
+           "\"listen\":{\"front\":\"10.0.0.1:80\"},\"bootstrap\":true,"
+           "\"bounds\":{\"grace-s\":6},\"later\":{}}"),
+      &e);
+  ck_assert_ptr_nonnull (s);
+  ck_assert (str_eq (s->rpc, STR ("10.0.0.1:7440")));
+  ck_assert (str_eq (s->seeds[0], STR ("10.0.0.2:7440")));
+  ck_assert (s->first && s->grace == 6000);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("platform");
+  TCase *t = tcase_create ("formats");
+
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+  tcase_add_test (t, invalid_configurations_are_refused);
+  tcase_add_test (t, unreadable_heartbeats_are_refused);
+  tcase_add_test (t, statements_pass_unchanged);
+  tcase_add_test (t, reserved_words_are_malformed);
+  tcase_add_test (t, endless_line_is_refused);
+  tcase_add_test (t, answers_are_read);
+  tcase_add_test (t, settings_are_checked);
+  suite_add_tcase (s, t);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_ENV);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed != 0;
+}
