--- /dev/null
+++ b/test/test_httpd.c
@@ -0,0 +1,134 @@
+#include "httpd.h"
+#include "rpc.h"
+
+#include <apr_general.h>
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+typedef struct
+{
+  loop_t *loop;
+  ring_t *in;
+  unsigned status;
+  bool done;
+  char body[64];
+  msec_t until;
+} world_t;
+
+static void
+free_address (char *out, size_t size)
+{
+  err_t e = { 0 };
+  struct sockaddr_in sa;
+  socklen_t n = sizeof sa;
+  int fd = rpc_listen (STR ("127.0.0.1:0"), &e);
+
+  getsockname (fd, (struct sockaddr *)&sa, &n);
+  snprintf (out, size, "127.0.0.1:%d", ntohs (sa.sin_port));
+  close (fd);
+}
+
+static bool
+quick (void *arg, httpd_req_t *r)
+{
+  (void)arg;
+  if (strcmp (r->path, "/quick") != 0)
+    return false;
+  httpd_reply (r, 409, (str_t){ 0 }, (str_t){ 0 });
+  return true;
+}
+
+static void
+on_request (void *arg, uint32_t events)
+{
+  world_t *w = arg;
+  httpd_req_t *r;
+
+  (void)events;
+  while ((r = ring_get (w->in, 0)) != NULL)
+    {
+      snprintf (w->body, sizeof w->body, "%s " STR_FMT, r->method,
+                STR_ARG (buf_str (&r->body)));
+      httpd_answer (r, 202, STR ("text/plain"), (str_t){ 0 }, STR ("ok"));
+    }
+}
+
+static void
+on_done (void *arg, unsigned status)
+{
+  world_t *w = arg;
+
+  w->status = status;
+  w->done = true;
+}
+
+static msec_t
+turn (void *arg, msec_t now)
+{
+  world_t *w = arg;
+
+  if (w->done || now > w->until)
+    loop_stop (w->loop);
+  return now + 10;
+}
+
+static unsigned
+post (world_t *w, const char *address, const char *path)
+{
+  err_t e = { 0 };
+
+  w->done = false;
+  w->status = 999;
+  w->until = msec_now () + 3000;
+  ck_assert (http_post (w->loop, str_of (address), str_of (path),
+                        STR ("X-Token: 1\r\n"), STR ("hello"), on_done, w,
+                        &e));
+  loop_run (w->loop, turn, w, &e);
+  ck_assert (w->done);
+  return w->status;
+}
+
+/* Guards against an answer that is lost between the server's thread and the
+   loop, and against a call without an answer being taken for one.  */
+START_TEST (calls_are_answered)
+{
+  world_t w = { 0 };
+  apr_pool_t *pool;
+  char address[32], nobody[32];
+  err_t e = { 0 };
+  const httpd_ops_t ops = { quick, &w };
+
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+  log_open ("test", 0);
+  w.loop = loop_new (pool, &e);
+  w.in = ring_new (pool, 8);
+  loop_watch (w.loop, ring_fd (w.in), on_request, &w, &e);
+  free_address (address, sizeof address);
+  ck_assert (httpd_new (pool, str_of (address), w.in, &ops, &e));
+  ck_assert_uint_eq (post (&w, address, "/slow"), 202);
+  ck_assert_str_eq (w.body, "POST hello");
+  ck_assert_uint_eq (post (&w, address, "/quick"), 409);
+  free_address (nobody, sizeof nobody);
+  ck_assert_uint_eq (post (&w, nobody, "/quick"), 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("httpd");
+  TCase *t = tcase_create ("calls");
+
+  tcase_add_test (t, calls_are_answered);
+  suite_add_tcase (s, t);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_ENV);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed != 0;
+}
