--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,7 @@
 	@$(CLANG) -std=gnu11 -D_GNU_SOURCE -Iinclude -I. $(shell pkg-config --cflags $(PKGS) 2>/dev/null) \
 	  $(FUZZFLAGS) -fsanitize=fuzzer-no-link -MMD -MP -c $< -o $@
 
-$(FB)/fuzz_%: $(FB)/test/fuzz_%.o $(LIBSRC:%.c=$(FB)/%.o)
+$(FB)/fuzz_%: $(FB)/test/fuzz_%.o $(PLATFORM_OBJ:$(B)/%=$(FB)/%) $(LIBSRC:%.c=$(FB)/%.o)
 	@$(CLANG) $(FUZZFLAGS) -fsanitize=fuzzer -o $@ $^ $(LIBS)
 
 fuzz: $(FUZZERS)
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -301,11 +301,11 @@
 void statement_fail (session_t *s, fail_t f, str_t text);
 
 /* session.c */
-void session_accept (proxy_t *p, int fd);
+void session_open (proxy_t *p, int fd);
 void session_input (void *arg);
 /* session_next: the statement is answered; takes the next one.  */
 void session_next (session_t *s);
-void session_close (session_t *s);
+void session_end (session_t *s);
 void session_ok (session_t *s);
 void session_tx_end (session_t *s);
 void sessions_sweep (proxy_t *p, msec_t now);
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -28,7 +28,7 @@
       int fd = accept4 (p->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
         return;
-      session_accept (p, fd);
+      session_open (p, fd);
       wake_at (p, p->now + p->conf.startup);
     }
 }
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -16,7 +16,7 @@
 }
 
 void
-session_accept (proxy_t *p, int fd)
+session_open (proxy_t *p, int fd)
 {
   session_t *s = calloc (1, sizeof *s);
 
@@ -54,7 +54,7 @@
 }
 
 void
-session_close (session_t *s)
+session_end (session_t *s)
 {
   stream_close (s->stream);
   session_free (s);
@@ -130,7 +130,7 @@
   log_event (EV_NO_DATABASE, "host=%s version=%lld", s->host,
              s->proxy->setup ? (long long)s->proxy->setup->version : 0LL);
   s->proxy->conf.client->error (out (s), FAIL_NODB, str_of (s->host));
-  session_close (s);
+  session_end (s);
   return false;
 }
 
@@ -308,7 +308,7 @@
 {
   if (m->kind == CLIENT_END || (m->kind == CLIENT_STARTUP) == s->started)
     {
-      session_close (s);
+      session_end (s);
       return false;
     }
   return m->kind == CLIENT_STARTUP ? startup (s, m->host)
@@ -340,7 +340,7 @@
     {
       log_event (EV_CLIENT_MALFORMED, "started=%d", s->started);
       p->conf.client->error (out (s), FAIL_MALFORMED, STR ("not a message"));
-      session_close (s);
+      session_end (s);
     }
 }
 
@@ -384,13 +384,13 @@
       log_event (EV_STARTUP_TIMEOUT, "ms=%lld", (long long)(now - s->opened));
       p->conf.client->error (out (s), FAIL_TIMEOUT,
                              STR ("no start-up message in time"));
-      session_close (s);
+      session_end (s);
       return;
     }
   if (p->setup == NULL && now - s->opened >= SETUP_WAIT)
     {
       p->conf.client->error (out (s), FAIL_BUSY, STR ("no configuration yet"));
-      session_close (s);
+      session_end (s);
       return;
     }
   if (idle_too_long (s, now))
@@ -412,7 +412,7 @@
       return;
     }
   if (health_leaving (p, now) && s->tx == TX_NONE)
-    session_close (s);
+    session_end (s);
 }
 
 void
--- a/test/test_raft_one.c
+++ b/test/test_raft_one.c
@@ -98,6 +98,8 @@
 
 /* Instance 1 of voters 1, 2 and 3 in term 3, with an uncommitted entry of
    term 2 at index 2.  */
+static bool solo_eager;
+
 static raft_t *
 solo_new (void)
 {
@@ -107,7 +109,7 @@
                     { 2, true, STR ("b"), STR ("2") },
                     { 3, true, STR ("c"), STR ("3") } };
   members_t ms = { .list = { m, 3 } };
-  raft_conf_t conf = { 0 };
+  raft_conf_t conf = { .eager = solo_eager };
 
   apr_initialize ();
   apr_pool_create (&pool, NULL);
@@ -304,6 +306,30 @@
 }
 END_TEST
 
+/* Guards against instances without leases that restart together and wait for
+   a leader that cannot exist, and against instances with leases that do not.
+ */
+START_TEST (eager_start_elects_at_once)
+{
+  vote_req_t ask
+      = { .term = 4, .from = 2, .last_index = 2, .last_term = 2, .pre = true };
+
+  solo_eager = false;
+  raft_t *r = solo_new ();
+  ck_assert (raft_recv (r, MSG_VOTE_REQ, &ask, 1010, NULL));
+  ck_assert (!solo.vote.granted);
+  ck_assert (raft_tick (r, 1000 + RAFT_EAGER, NULL));
+  ck_assert_int_eq (raft_role (r), RAFT_FOLLOWER);
+  solo_eager = true;
+  r = solo_new ();
+  ck_assert (raft_recv (r, MSG_VOTE_REQ, &ask, 1010, NULL));
+  ck_assert (solo.vote.granted);
+  ck_assert (raft_tick (r, 1000 + RAFT_EAGER, NULL));
+  ck_assert_int_eq (raft_role (r), RAFT_CANDIDATE);
+  solo_eager = false;
+}
+END_TEST
+
 int
 main (void)
 {
@@ -317,6 +343,7 @@
   tcase_add_test (o, new_address);
   tcase_add_test (o, store_before_answer);
   tcase_add_test (o, committed_entries_stay);
+  tcase_add_test (o, eager_start_elects_at_once);
   suite_add_tcase (s, o);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
