Close sessions of a planned stop in batches, none with bytes unread

Cause: a stop closed all its sessions in one turn; while a hundred were closed, requests arrived on others and the close reset them without an answer (incident inc-f5ba of Tan, 15.2 s: a sale sent 2.2 s after the SIGTERM, reset 37 ms later).

--- a/lib/loop/stream.c
+++ b/lib/loop/stream.c
@@ -210,6 +210,16 @@
   return s->up && !s->dead;
 }
 
+bool
+stream_quiet (const stream_t *s)
+{
+  char c;
+
+  return buf_len (&s->in) == 0
+         && recv (s->watch.fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && errno == EAGAIN;
+}
+
 void
 stream_close (stream_t *s)
 {
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -37,6 +37,8 @@
                        off, and another serves its clients better */
   NOT_READY_TIME = 2200, /* ms after SIGTERM until sessions are closed; the
                             balancer needs two probes a second apart */
+  CLOSE_BATCH = 12,      /* sessions closed in one turn of a planned stop */
+  CLOSE_EVERY = 25,      /* ms between such turns */
   STOP_MARGIN = 400      /* ms before the end of the grace period */
 };
 
@@ -231,6 +233,7 @@
   msec_t started;
   session_t *sessions;
   int nsession;
+  int closing; /* sessions that may still be closed in this turn */
   int entries; /* entry instances that share the databases; 0: unknown */
   service_t *services;
   link_t *dead;
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -411,8 +411,11 @@
       advance (s);
       return;
     }
-  if (health_leaving (p, now) && s->tx == TX_NONE)
-    session_end (s);
+  if (p->closing > 0 && s->tx == TX_NONE && stream_quiet (s->stream))
+    {
+      p->closing--;
+      session_end (s);
+    }
 }
 
 void
@@ -420,9 +423,13 @@
 {
   session_t *next;
 
+  /* Their clients come back elsewhere, so not all at once.  */
+  p->closing = health_leaving (p, now) ? CLOSE_BATCH : 0;
   for (session_t *s = p->sessions; s; s = next)
     {
       next = s->next;
       sweep_one (s, now);
     }
+  if (health_leaving (p, now) && p->sessions)
+    wake_at (p, now + CLOSE_EVERY);
 }
