Log what decided about a failed statement, and serve histograms

A failed statement's line now holds what it needed, the database asked last, the leader believed in and for how long it has been silent, the age of the newest sample, the state of the zone and the version in force; each repetition has a line too. Lines are bounded to 100 a second for one event and 190 for all, with the number left out in the next line.

--- a/include/base.h
+++ b/include/base.h
@@ -165,7 +165,8 @@
 void log_structured (bool on);
 enum
 {
-  LOG_RATE = 40 /* lines of one event a second */
+  LOG_RATE = 100,    /* lines of one event a second */
+  LOG_RATE_ALL = 190 /* lines of all events a second */
 };
 /* log_event: one line on standard error: `<LEVEL>PROGRAM[PID]: TIME E<NUMBER>
    NAME key=value ...`.  */
@@ -224,6 +225,13 @@
 void counter_add (counter_t *c, int64_t n);
 void counter_set (counter_t *c, int64_t n);
 int64_t counter_value (const counter_t *c);
+/* A histogram of times in ms, in the form that Prometheus reads: cumulative
+   buckets, sum and count, each a counter.  */
+typedef struct hist hist_t;
+
+/* hist_new: lives as long as the process.  LABELS: name="value",...  */
+hist_t *hist_new (const char *name, const char *labels, const char *help);
+void hist_add (hist_t *h, msec_t ms);
 /* counter_text: all counters in Prometheus text format.  */
 void counter_text (buf_t *out);
 
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -88,7 +88,8 @@
   int lines;
   int64_t omitted;
 } rate[sizeof catalogue / sizeof *catalogue];
-static int64_t unwritten;
+static msec_t all_second;
+static int all_lines;
 
 void
 log_structured (bool on)
@@ -157,7 +158,12 @@
       rate[i].second = wall / 1000;
       rate[i].lines = 0;
     }
-  if (rate[i].lines >= LOG_RATE)
+  if (all_second != wall / 1000)
+    {
+      all_second = wall / 1000;
+      all_lines = 0;
+    }
+  if (rate[i].lines >= LOG_RATE || all_lines++ >= LOG_RATE_ALL)
     {
       rate[i].omitted++;
       return false;
@@ -191,7 +197,7 @@
       line[n++] = '}';
       line[n++] = '\n';
       if (write (STDOUT_FILENO, line, n) != (ssize_t)n)
-        unwritten++;
+        rate[c - catalogue].omitted += omitted + 1;
     }
   pthread_mutex_unlock (&gate);
 }
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -175,6 +175,7 @@
   int ntried;
   fail_t last; /* why the last attempt did not run */
   int attempts;
+  char asked[NAME_LEN]; /* database of the last attempt */
 } request_t;
 
 struct session
@@ -223,6 +224,22 @@
   bool lost;
 } watcher_t;
 
+/* Kinds of statements, outcomes and causes of waiting in the metrics.  */
+enum
+{
+  KIND_READ,
+  KIND_WRITE,
+  KIND_COMMIT,
+  KINDS,
+  OUTCOME_SERVED = 0,
+  OUTCOME_REFUSED,
+  OUTCOME_UNKNOWN,
+  OUTCOMES,
+  CAUSE_LEADER = 0,
+  CAUSE_REPLICA,
+  CAUSES
+};
+
 struct proxy
 {
   apr_pool_t *pool;
@@ -246,14 +263,13 @@
   msec_t wake;
   msec_t swept;
   atomic_bool ready;
-  counter_t *served;
-  counter_t *refused;
-  counter_t *unknown;
   counter_t *retried;
   counter_t *opened;
   counter_t *reads_replica;
   counter_t *reads_primary;
   counter_t *reads_near;
+  hist_t *took[KINDS][OUTCOMES];
+  hist_t *waited[CAUSES];
 };
 
 /* health.c */
@@ -313,6 +329,11 @@
 void session_tx_end (session_t *s);
 void sessions_sweep (proxy_t *p, msec_t now);
 
+/* metrics.c */
+void metrics_new (proxy_t *p);
+void metrics_answered (session_t *s, int outcome);
+void metrics_started (session_t *s);
+
 /* watch.c */
 void watch_turn (proxy_t *p, msec_t now);
 void wake_at (proxy_t *p, msec_t at);
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -33,25 +33,6 @@
     }
 }
 
-static void
-counters (proxy_t *p)
-{
-  p->served = counter_get ("pimentopost_served_total", "statements answered");
-  p->refused = counter_get ("pimentopost_refused_total", "statements refused");
-  p->unknown = counter_get ("pimentopost_outcome_unknown_total",
-                            "statements whose outcome is unknown");
-  p->retried = counter_get ("pimentopost_retried_total",
-                            "statements sent to another database");
-  p->opened = counter_get ("pimentopost_connections_opened_total",
-                           "connections opened to databases");
-  p->reads_replica = counter_get ("pimentopost_reads_replica_total",
-                                  "reads served by replicas");
-  p->reads_primary = counter_get ("pimentopost_reads_primary_total",
-                                  "reads served by primaries");
-  p->reads_near = counter_get ("pimentopost_reads_near_total",
-                               "reads served in the own availability zone");
-}
-
 proxy_t *
 proxy_new (apr_pool_t *pool, loop_t *l, const proxy_conf_t *c, err_t *e)
 {
@@ -68,7 +49,7 @@
   p->watch.asked = p->now - 1000;
   p->watch.heard = p->now;
   p->watch.at = (size_t)(rng_system_seed () % 1024);
-  counters (p);
+  metrics_new (p);
   p->listener = rpc_listen (c->listen, e);
   if (p->listener < 0 || !loop_watch (l, p->listener, on_client, p, e))
     return NULL;
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -86,7 +86,6 @@
 {
   const client_codec_t *c = s->proxy->conf.client;
 
-  counter_add (s->proxy->refused, 1);
   c->error (out (s), f, why);
   c->ready (out (s), s->tx);
 }
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -62,23 +62,35 @@
   s->req.active = false;
 }
 
+/* What is needed to explain the failure from the request's id alone.  */
+static void
+log_failure (const session_t *s, fail_t f)
+{
+  const proxy_t *p = s->proxy;
+  const request_t *r = &s->req;
+  const service_t *v = s->service;
+  const db_t *lead = v ? v->leader : NULL;
+  msec_t silent = lead && lead->fail_at >= 0 ? p->now - lead->fail_at : 0;
+  msec_t mark = v && v->marks.n ? p->now - marks_fresh (&v->marks) : -1;
+
+  log_event (EV_REQUEST_FAILED,
+             "request=" STR_FMT " host=%s service=%s outcome=%s ms=%lld "
+             "needs=%s attempts=%d last=%s database=%s leader=%s "
+             "leader_silent_ms=%lld mark_age=%lld cut_off=%d version=%lld",
+             STR_ARG (r->op.id), s->host, v ? v->name : "-", fail_name (f),
+             (long long)(p->now - r->arrived), r->lead ? "leader" : "position",
+             r->attempts, fail_name (r->last), r->asked[0] ? r->asked : "-",
+             lead ? lead->id : "-", (long long)silent, (long long)mark,
+             p->cut_at >= 0, p->setup ? (long long)p->setup->version : 0LL);
+}
+
 void
 statement_fail (session_t *s, fail_t f, str_t text)
 {
   proxy_t *p = s->proxy;
-  request_t *r = &s->req;
 
-  counter_add (f == FAIL_INDOUBT ? p->unknown : p->refused, 1);
-  log_event (
-      EV_REQUEST_FAILED,
-      "request=" STR_FMT " service=%s outcome=%s ms=%lld attempts=%d "
-      "last=%s leader=%s lead=%d mark_age=%lld",
-      STR_ARG (r->op.id), s->service ? s->service->name : "-", fail_name (f),
-      (long long)(p->now - r->arrived), r->attempts, fail_name (r->last),
-      s->service && s->service->leader ? s->service->leader->id : "-", r->lead,
-      s->service && s->service->marks.n
-          ? (long long)(p->now - marks_fresh (&s->service->marks))
-          : -1LL);
+  metrics_answered (s, f == FAIL_INDOUBT ? OUTCOME_UNKNOWN : OUTCOME_REFUSED);
+  log_failure (s, f);
   statement_drop (s);
   p->conf.client->error (client (s), f, text);
   p->conf.client->ready (client (s), s->tx);
@@ -130,7 +142,7 @@
 {
   proxy_t *p = s->proxy;
 
-  counter_add (p->served, 1);
+  metrics_answered (s, OUTCOME_SERVED);
   if (s->req.reads)
     {
       bool lead = k->db == s->service->leader;
@@ -169,6 +181,12 @@
   request_t *r = &s->req;
 
   r->last = f;
+  log_event (EV_RETRY,
+             "request=" STR_FMT " database=%s cause=%s ms=%lld attempt=%d "
+             "need=%lld.%lld",
+             STR_ARG (r->op.id), d ? d->id : r->asked, fail_name (f),
+             (long long)(s->proxy->now - r->arrived), r->attempts,
+             (long long)r->need.term, (long long)r->need.number);
   if (d && r->ntried < SITES_MAX && !tried (r, d))
     r->tried[r->ntried++] = d;
   counter_add (s->proxy->retried, 1);
@@ -258,7 +276,9 @@
   msec_t left = r->deadline - p->now;
 
   dequeue (s);
-  r->attempts++;
+  if (r->attempts++ == 0)
+    metrics_started (s);
+  snprintf (r->asked, sizeof r->asked, "%s", d->id);
   r->attempt = r->reads && s->tx == TX_NONE
                    ? p->now + left * SHARE_OF_READ / 100
                    : r->deadline;
