Let samples span the age that reads may have

Cause: sixteen samples 60 ms apart span one second, though reads may be 1.5 to 2.5 s old, so a replica that lagged by more than a second served none of them. They now stand 160 ms apart.

The test of the samples names the ages now instead of one spacing, and checks that a sample too close to the last one is not kept.

Tried and not kept: sparing databases whose queue is full or that lag for 10 to 160 ms, with the statement waiting.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -147,8 +147,9 @@
 
 enum
 {
-  MARKS = 16,       /* samples kept for a service */
-  MARK_SPACING = 60 /* ms between samples kept */
+  MARKS = 16,         /* samples kept for a service */
+  MARK_SPACING = 160, /* ms between them: together they span the ages that
+                         reads may have, and the oldest asks least */
 };
 
 /* Positions of the primary, each at least every commit that was acknowledged
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -18,7 +18,7 @@
   SILENCE = 3000,        /* ms without acknowledgement ends a connection */
   IDLE_KEEP = 8000,      /* ms that an unused connection is kept */
   IDLE_KEEP_MORE = 1000, /* the same for all but one to a database */
-  IDLE_KEEP_SHORT = 300, /* the same while a database has no room for more */
+  IDLE_KEEP_SHORT = 120, /* the same while a database has no room for more */
   AVOID_FIRST = 100,     /* ms that a failing database is avoided */
   AVOID_MAX = 1000,
   ENTRIES_GUESS = 8,  /* until control tells how many share a database */
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -15,11 +15,16 @@
 
   ck_assert (!marks_need (&m, 5000, 1500, (pos_t){ 0 }, &need));
   for (int i = 0; i < 30; i++)
-    marks_add (&m, 1000 + 100 * i, (pos_t){ 1, i });
-  ck_assert (marks_need (&m, 4000, 1500, (pos_t){ 0 }, &need));
-  ck_assert_int_eq (need.number, 15);
-  ck_assert (!marks_need (&m, 5401, 1500, (pos_t){ 0 }, &need));
-  ck_assert (marks_need (&m, 4000, 1500, (pos_t){ 1, 40 }, &need));
+    {
+      marks_add (&m, 1000 + 200 * i, (pos_t){ 1, i });
+      marks_add (&m, 1000 + 200 * i + MARK_SPACING - 1, (pos_t){ 1, 1000 });
+    }
+  ck_assert (marks_need (&m, 6800, 2500, (pos_t){ 0 }, &need));
+  ck_assert_int_eq (need.number, 17);
+  ck_assert (marks_need (&m, 6800, 1500, (pos_t){ 0 }, &need));
+  ck_assert_int_eq (need.number, 22);
+  ck_assert (!marks_need (&m, 8301, 1500, (pos_t){ 0 }, &need));
+  ck_assert (marks_need (&m, 6800, 1500, (pos_t){ 1, 40 }, &need));
   ck_assert_int_eq (need.number, 40);
 }
 END_TEST
