Open connections ahead of need where each instance may have one

Cause: on the grown Bureau all 67 entry instances opened their connections to 24 databases with the first statements; each opening takes 27 ms of one of two slots, so the first two seconds served a third. An entry instance now opens a connection to each database that has more of them than there are instances, one every 30 ms, and keeps the last one.

FULL_HOLD is that constant now, at 200 ms.

--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -157,6 +157,36 @@
     }
 }
 
+static bool
+one_each (const proxy_t *p, const service_t *s)
+{
+  return p->entries > 0 && s->connections > p->entries;
+}
+
+static db_t *
+cold (const proxy_t *p, msec_t now)
+{
+  for (service_t *s = p->services; s; s = s->next)
+    for (db_t *d = s->dbs; d && one_each (p, s); d = d->next)
+      if (d->open + d->opening == 0 && !d->leaving && !d->gone
+          && d->avoid <= now && now - d->full_at >= FULL_HOLD)
+        return d;
+  return NULL;
+}
+
+void
+links_warm (proxy_t *p, msec_t now)
+{
+  if (p->stop_at >= 0 || p->cut_at >= 0 || now - p->warmed < WARM_EVERY)
+    return;
+  db_t *d = cold (p, now);
+  if (d == NULL)
+    return;
+  p->warmed = now;
+  link_open (p, d);
+  wake_at (p, now + WARM_EVERY);
+}
+
 void
 links_sweep (proxy_t *p, service_t *s, msec_t now)
 {
@@ -166,9 +196,10 @@
     for (link_t *k = d->links; k; k = next)
       {
         bool tight = d->full_at && now - d->full_at < 3000;
-        msec_t keep = tight         ? IDLE_KEEP_SHORT
-                      : d->open > 1 ? IDLE_KEEP_MORE
-                                    : IDLE_KEEP;
+        msec_t keep = tight             ? IDLE_KEEP_SHORT
+                      : d->open > 1     ? IDLE_KEEP_MORE
+                      : one_each (p, s) ? IDLE_KEEP_LAST
+                                        : IDLE_KEEP;
         next = k->next;
         if (k->state == LINK_OPENING && now - k->since >= CONNECT_TIME)
           {
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -11,17 +11,20 @@
 
 enum
 {
-  NAME_LEN = 64,         /* bytes of names of services, databases and zones */
-  SITES_MAX = 16,        /* databases of one service */
-  STEPS_MAX = 48,        /* operations in flight on one connection */
-  CONNECT_TIME = 700,    /* ms to open a connection to a database */
-  SILENCE = 3000,        /* ms without acknowledgement ends a connection */
-  IDLE_KEEP = 8000,      /* ms that an unused connection is kept */
-  IDLE_KEEP_MORE = 1000, /* the same for all but one to a database */
-  IDLE_KEEP_SHORT = 120, /* the same while a database has no room for more */
-  AVOID_FIRST = 100,     /* ms that a failing database is avoided */
+  NAME_LEN = 64,          /* bytes of names of services, databases and zones */
+  SITES_MAX = 16,         /* databases of one service */
+  STEPS_MAX = 48,         /* operations in flight on one connection */
+  CONNECT_TIME = 700,     /* ms to open a connection to a database */
+  SILENCE = 3000,         /* ms without acknowledgement ends a connection */
+  IDLE_KEEP = 8000,       /* ms that an unused connection is kept */
+  IDLE_KEEP_LAST = 50000, /* the same where each instance may have one */
+  WARM_EVERY = 30,        /* ms between connections opened ahead of need */
+  IDLE_KEEP_MORE = 1000,  /* the same for all but one to a database */
+  IDLE_KEEP_SHORT = 120,  /* the same while a database has no room for more */
+  AVOID_FIRST = 100,      /* ms that a failing database is avoided */
   AVOID_MAX = 1000,
   ENTRIES_GUESS = 8,  /* until control tells how many share a database */
+  FULL_HOLD = 200,    /* ms until a full database is asked for room again */
   LEAD_RETRY = 150,   /* ms until a database that does not lead is asked
                          again */
   SETUP_WAIT = 1500,  /* ms that a session waits for the first
@@ -261,7 +264,7 @@
   msec_t stop_at;     /* SIGTERM, -1: none */
   msec_t cut_at;      /* cut off since, -1: not */
   msec_t wake;
-  msec_t swept;
+  msec_t warmed;
   atomic_bool ready;
   counter_t *retried;
   counter_t *opened;
@@ -301,6 +304,10 @@
 void link_begin (proxy_t *p, link_t *k, session_t *s);
 /* link_run: sends the session's statement on K.  */
 void link_run (proxy_t *p, link_t *k, session_t *s);
+/* links_warm: opens a connection to a database that has none, where each
+   instance may have one: opening takes a slot, and many at once when traffic
+   starts would keep the statements out.  */
+void links_warm (proxy_t *p, msec_t now);
 void links_sweep (proxy_t *p, service_t *s, msec_t now);
 void links_close_idle (proxy_t *p, db_t *d);
 /* links_bury: frees those that were closed in this turn.  */
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -105,6 +105,7 @@
   if (due)
     p->wake = -1;
   watch_turn (p, now);
+  links_warm (p, now);
   if (due)
     {
       sessions_sweep (p, now);
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -214,7 +214,7 @@
   int share = v->connections / 2 / entries;
   int need = 1 + pinned (d);
 
-  if (d->full_at && p->now - d->full_at < 200)
+  if (d->full_at && p->now - d->full_at < FULL_HOLD)
     return d->open + d->opening;
   if (share < 2)
     share = 2;
