--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -24,7 +24,7 @@
   AVOID_FIRST = 100,      /* ms that a failing database is avoided */
   AVOID_MAX = 1000,
   ENTRIES_GUESS = 8,  /* until control tells how many share a database */
-  FULL_HOLD = 200,    /* ms until a full database is asked for room again */
+  FULL_HOLD = 50,     /* ms until a full database is asked for room again */
   LEAD_RETRY = 150,   /* ms until a database that does not lead is asked
                          again */
   SETUP_WAIT = 1500,  /* ms that a session waits for the first
