--- a/test/stage.c
+++ b/test/stage.c
@@ -14,7 +14,7 @@
 listen_on (char *address, size_t size)
 {
   err_t e = { 0 };
-  struct sockaddr_in sa;
+  struct sockaddr_in sa = { 0 };
   socklen_t n = sizeof sa;
   int fd = rpc_listen (STR ("127.0.0.1:0"), &e);
 
@@ -81,9 +81,10 @@
 static bool
 lacks (const stage_db_t *d, const char *after)
 {
-  long long term = 0, number = 0;
+  char *end;
+  long long term = strtoll (after + strlen ("AFTER "), &end, 10);
+  long long number = strtoll (end + 1, NULL, 10);
 
-  sscanf (after, "AFTER %lld.%lld", &term, &number);
   return term > d->term || (term == d->term && number > d->number);
 }
 
@@ -575,7 +576,7 @@
   char own[32];
   int fd = listen_on (own, sizeof own);
   close (fd);
-  s->port = atoi (strchr (own, ':') + 1);
+  s->port = (int)strtol (strchr (own, ':') + 1, NULL, 10);
   proxy_conf_t c = { .name = STR ("p1"),
                      .zone = STR ("z1"),
                      .listen = str_dup (pool, str_of (own)),
--- a/test/test_httpd.c
+++ b/test/test_httpd.c
@@ -23,7 +23,7 @@
 free_address (char *out, size_t size)
 {
   err_t e = { 0 };
-  struct sockaddr_in sa;
+  struct sockaddr_in sa = { 0 };
   socklen_t n = sizeof sa;
   int fd = rpc_listen (STR ("127.0.0.1:0"), &e);
 
