Send rosters and memberships less often

Cause: bytes between zones are the Bureau's largest price. Each control instance sent its whole roster to the others every second, though changes go at once anyway and silence counts after a minute; and each answer to an entry instance named all control instances.

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -101,6 +101,7 @@
   if (m == c->members)
     return;
   c->members = m;
+  c->members_number++;
   buf_init (&b);
   for (size_t i = 0; i < m->list.n; i++)
     {
--- a/lib/cell/join.c
+++ b/lib/cell/join.c
@@ -207,7 +207,7 @@
       const member_t *x = LIST_AT (m->list, member_t, i);
       int k = slot (c, x->id);
       if (k >= 0 && x->voter && c->now - c->heard[k] < REPLACED
-          && c->voter_since[k] + GOSSIP_EVERY > c->heard[s]
+          && c->voter_since[k] + REPLACED_SLACK > c->heard[s]
           && c->voter_since[k] > c->voter_since[s])
         return true;
     }
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -15,14 +15,16 @@
   PEER_OUT_MAX = 4 << 20, /* bytes that wait for one */
   HELLO_EVERY = 200,      /* ms between questions to the other instances */
   HELLO_AGE = 1500,       /* ms that an answer counts */
-  GOSSIP_EVERY = 1000,    /* ms between whole rosters to the others */
+  GOSSIP_EVERY = 3000,    /* ms between whole rosters to the others */
   READ_TIME = 900,        /* ms that a read may wait for its quorum */
   SUBMIT_TIME = 2500,     /* ms that an order may wait for its quorum */
   RECORD_EVERY = 300,     /* ms between records of the roster */
-  WATCHED_AGE = 3000, /* ms that another's count of entry instances holds */
+  WATCHED_AGE = 8000, /* ms that another's count of entry instances holds */
   WARM = 5000,        /* ms after the start until all heartbeats were heard */
-  REPLACED = 2500,    /* ms of silence of a member that another replaced */
-  PENDING = 64,       /* orders and reads at a time */
+  REPLACED_SLACK = 1000, /* ms that a successor may join before the silence of
+                            its predecessor is noticed */
+  REPLACED = 2500,       /* ms of silence of a member that another replaced */
+  PENDING = 64,          /* orders and reads at a time */
   SERVICES = 256
 };
 
@@ -43,8 +45,8 @@
   int64_t seq;
   int64_t version;
   int64_t roster;
-  bool stale; /* news wait to be sent */
-  bool led;   /* as told last */
+  int64_t members; /* number of the membership told last */
+  bool led;        /* as told last */
 };
 
 typedef struct
@@ -143,6 +145,7 @@
   int64_t term;
   int64_t leader;
   const members_t *members;
+  int64_t members_number; /* of changes seen, from 1 */
   takeover_t take[SERVICES];
   size_t ntake;
   dbprobe_t *probes;
