Watch a control instance of the own availability zone

Cause: reports of entry instances and the answers to them crossed zones; on the grown Bureau they are a seventh of the paid bytes. Members carry their zone now, and an entry instance moves to one of its own zone when it learns of it, and to another when that one is lost.

--- a/include/cell.h
+++ b/include/cell.h
@@ -42,6 +42,7 @@
 {
   str_t name;
   str_t address; /* rpc */
+  str_t zone;    /* availability zone */
   str_t data;    /* folder */
   str_t *seeds;  /* rpc addresses of control instances known at start */
   size_t nseeds;
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -137,6 +137,7 @@
   bool voter; /* false: learner */
   str_t name; /* of the instance */
   str_t address;
+  str_t zone; /* availability zone; may be empty */
 } member_t;
 
 typedef struct
@@ -153,6 +154,7 @@
   str_t name;
   str_t address;
   bool join; /* wants to become a learner */
+  str_t zone;
 } hello_t;
 
 typedef struct
@@ -161,6 +163,7 @@
   str_t name;
   bool has_log;
   str_t leader; /* host:port, empty when unknown */
+  str_t zone;
 } hello_resp_t;
 
 /* ---- files of the replicated log ---- */
--- a/lib/cell/join.c
+++ b/lib/cell/join.c
@@ -59,13 +59,15 @@
 
   m[n++] = (member_t){ .id = raft_id (c->raft),
                        .name = c->conf.name,
-                       .address = c->conf.address };
+                       .address = c->conf.address,
+                       .zone = c->conf.zone };
   for (size_t i = 0; i < c->join.n; i++)
     {
       const other_t *o = &c->join.other[i];
       m[n++] = (member_t){ .id = o->id,
                            .name = str_of (o->name),
-                           .address = str_of (o->address) };
+                           .address = str_of (o->address),
+                           .zone = str_of (o->zone) };
     }
   log_event (EV_RAFT_BOOTSTRAP, "instances=%zu", n);
   cell_step (c, raft_bootstrap (c->raft, m, n, c->now, &c->err));
@@ -78,7 +80,8 @@
   hello_t m = { .id = raft_id (c->raft),
                 .name = c->conf.name,
                 .address = c->conf.address,
-                .join = true };
+                .join = true,
+                .zone = c->conf.zone };
 
   if (self && str_eq (self->address, c->conf.address))
     return;
@@ -121,6 +124,7 @@
       if (strcmp (o->address, r->address) != 0)
         continue;
       snprintf (o->name, sizeof o->name, STR_FMT, STR_ARG (m->name));
+      snprintf (o->zone, sizeof o->zone, STR_FMT, STR_ARG (m->zone));
       o->id = m->id;
       o->has_log = m->has_log;
       o->at = c->now;
@@ -133,14 +137,17 @@
 join_ask (cell_t *c, const hello_t *m, hello_resp_t *out)
 {
   const member_t *l = raft_member (c->raft, raft_leader (c->raft));
-  member_t add = { .id = m->id, .name = m->name, .address = m->address };
+  member_t add = {
+    .id = m->id, .name = m->name, .address = m->address, .zone = m->zone
+  };
   const member_t *known = raft_member (c->raft, m->id);
   err_t e = { 0 };
 
   *out = (hello_resp_t){ .id = raft_id (c->raft),
                          .name = c->conf.name,
                          .has_log = raft_last (c->raft) > 0,
-                         .leader = l ? l->address : (str_t){ 0 } };
+                         .leader = l ? l->address : (str_t){ 0 },
+                         .zone = c->conf.zone };
   if (!m->join || raft_role (c->raft) != RAFT_LEADER || m->id <= 0
       || (known && str_eq (known->address, m->address)))
     return;
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -53,6 +53,7 @@
 {
   char name[64];
   char address[64];
+  char zone[64];
   int64_t id;
   bool has_log;
   msec_t at;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -216,6 +216,7 @@
   str_t *address;
   size_t n;
   size_t at;
+  char dialled[NAME_LEN]; /* address of STREAM */
   apr_pool_t *pool;
   int64_t seq;
   int64_t boot;
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -1,5 +1,6 @@
 #include "local.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -83,32 +84,61 @@
   report (p);
 }
 
-/* Keeps the addresses of the control instances that the news name.  */
+static bool
+same_list (const watcher_t *w, const news_t *n)
+{
+  size_t found = 0;
+
+  for (size_t i = 0; i < n->control.n; i++)
+    for (size_t j = 0; j < w->n; j++)
+      found += str_eq (w->address[j],
+                       LIST_AT (n->control, member_t, i)->address);
+  return n->control.n == w->n && found == w->n;
+}
+
+/* Copies the addresses of the instances that are in the own availability zone,
+   or of those that are not; returns their number.  */
+static size_t
+copy_list (proxy_t *p, apr_pool_t *pool, const news_t *n, bool near,
+           str_t *out)
+{
+  size_t k = 0;
+
+  for (size_t i = 0; i < n->control.n; i++)
+    {
+      const member_t *m = LIST_AT (n->control, member_t, i);
+      if (str_eq (m->zone, p->conf.zone) == near)
+        out[k++] = str_dup (pool, m->address);
+    }
+  return k;
+}
+
+/* Keeps the addresses of the control instances that the news name, those of
+   the own availability zone first, and moves to one of these: reports stay
+   inside the zone.  */
 static void
 learn_control (proxy_t *p, const news_t *n)
 {
   watcher_t *w = &p->watch;
   apr_pool_t *pool;
-  bool same = n->control.n == w->n;
 
-  if (n->control.n == 0)
-    return;
-  for (size_t i = 0; i < n->control.n && same; i++)
-    same = str_eq (w->address[i], LIST_AT (n->control, member_t, i)->address);
-  if (same)
+  if (n->control.n == 0 || same_list (w, n))
     return;
-  str_t *v = malloc (n->control.n * sizeof *v);
-  if (v == NULL)
-    abort ();
   apr_pool_create (&pool, p->pool);
-  w->address = apr_palloc (pool, n->control.n * sizeof *v);
-  w->n = n->control.n;
-  for (size_t i = 0; i < w->n; i++)
-    w->address[i] = str_dup (pool, LIST_AT (n->control, member_t, i)->address);
-  free (v);
+  w->address = apr_palloc (pool, n->control.n * sizeof *w->address);
+  w->n = copy_list (p, pool, n, true, w->address);
+  size_t near = w->n;
+  w->n += copy_list (p, pool, n, false, w->address + near);
   if (w->pool)
     apr_pool_destroy (w->pool);
   w->pool = pool;
+  w->at = 0;
+  if (near == 0 || w->stream == NULL
+      || str_eq (w->address[0], str_of (w->dialled)))
+    return;
+  stream_close (w->stream);
+  w->stream = NULL;
+  w->roster = -1;
 }
 
 static void
@@ -129,7 +159,7 @@
   fleet_news (p, n);
   learn_control (p, n);
   /* An instance that no quorum follows misses changes.  */
-  if (!n->led && p->watch.n > 1)
+  if (!n->led && w->stream && w->n > 1)
     hang_up (p, "no-leader");
 }
 
@@ -156,7 +186,7 @@
         got = -1;
       buf_take (stream_in (s), body.n + 4);
       apr_pool_destroy (pool);
-      if (got < 0)
+      if (got < 0 || w->stream != s)
         break;
     }
   if (got < 0 && w->stream)
@@ -177,6 +207,7 @@
   size_t i = w->at % all;
   address = i < w->n ? w->address[i] : p->conf.control[i - w->n];
   w->asked = p->now;
+  snprintf (w->dialled, sizeof w->dialled, STR_FMT, STR_ARG (address));
   w->stream = stream_dial (p->loop, address, SILENCE, &watch_ops, p, &e);
   if (w->stream == NULL)
     lost (p, err_name (e.code));
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -98,7 +98,7 @@
 
 static const field_t member_fields[]
     = { INT (member_t, id), BOOL (member_t, voter), TEXT (member_t, name),
-        TEXT (member_t, address) };
+        TEXT (member_t, address), TEXT (member_t, zone) };
 TABLE (member);
 
 static const field_t members_fields[] = { LIST (members_t, list, member) };
@@ -106,12 +106,13 @@
 
 static const field_t hello_fields[]
     = { INT (hello_t, id), TEXT (hello_t, name), TEXT (hello_t, address),
-        BOOL (hello_t, join) };
+        BOOL (hello_t, join), TEXT (hello_t, zone) };
 TABLE (hello);
 
 static const field_t hello_resp_fields[]
     = { INT (hello_resp_t, id), TEXT (hello_resp_t, name),
-        BOOL (hello_resp_t, has_log), TEXT (hello_resp_t, leader) };
+        BOOL (hello_resp_t, has_log), TEXT (hello_resp_t, leader),
+        TEXT (hello_resp_t, zone) };
 TABLE (hello_resp);
 
 static const field_t raft_state_fields[]
--- a/test/stage.c
+++ b/test/stage.c
@@ -385,6 +385,7 @@
       apr_pool_create (&pool, NULL);
       watch_t *m = rpc_decode (pool, body, &type, NULL);
       ck_assert (m && type == MSG_WATCH);
+      w->stage->reports[w->at]++;
       if (!w->stage->control_mute[w->at])
         news (w, m);
       buf_take (stream_in (w->stream), body.n + 4);
--- a/test/stage.h
+++ b/test/stage.h
@@ -59,6 +59,8 @@
   char control_address[2][32];
   bool control_mute[2]; /* takes connections and says nothing */
   bool control_unled[2];
+  const char *control_zone[2];
+  int reports[2]; /* received by each */
   int64_t version;
   int64_t roster;
   int64_t tx_idle;
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -379,6 +379,29 @@
 }
 END_TEST
 
+/* Guards against reports that leave the zone though a control instance is in
+   it, and against one that stays there when that instance is lost.  */
+START_TEST (watch_prefers_the_own_zone)
+{
+  for (int near = 0; near < 2; near++)
+    {
+      stage_t *s = stage_new (false);
+      s->control_zone[near] = "z1";
+      s->control_zone[!near] = "z2";
+      s->version = 1;
+      stage_run (s, 700, NULL, NULL);
+      int before = s->reports[!near];
+      stage_run (s, 1000, NULL, NULL);
+      ck_assert_int_eq (s->reports[!near], before);
+      ck_assert_int_ge (s->reports[near], 3);
+      s->control_mute[near] = true;
+      stage_run (s, 2000, NULL, NULL);
+      ck_assert_int_gt (s->reports[!near], before);
+      stage_free (s);
+    }
+}
+END_TEST
+
 /* Guards against new work for a database that leaves.  */
 START_TEST (leaving_database_gets_no_work)
 {
@@ -478,6 +501,7 @@
   tcase_add_test (t, routes_follow_the_configuration);
   tcase_add_test (t, watch_survives_a_silent_control_instance);
   tcase_add_test (t, watch_leaves_an_instance_without_a_leader);
+  tcase_add_test (t, watch_prefers_the_own_zone);
   tcase_add_test (t, leaving_database_gets_no_work);
   tcase_add_test (t, stop_lets_a_transaction_end);
   tcase_add_test (t, cut_off_instance_is_not_ready);
