--- a/lib/cell/news.c
+++ b/lib/cell/news.c
@@ -51,17 +51,17 @@
 
   if (v == NULL)
     abort ();
-  news_t n
-      = { .seq = r->seq,
-          .boot = c->boot,
-          .led = cell_led (c),
-          .warm = c->now - c->started > WARM,
-          .version = c->version,
-          .setup = setup ? buf_str (&c->setup) : (str_t){ 0 },
-          .roster = c->roster.number,
-          .whole = r->roster < 0,
-          .control = r->members == c->members_number ? (list_t){ 0 } : m->list,
-          .entries = news_entries (c) };
+  news_t n = { .seq = r->seq,
+               .boot = c->boot,
+               .led = cell_led (c),
+               .warm = c->now - c->started > WARM,
+               .version = c->version,
+               .setup = setup ? buf_str (&c->setup) : (str_t){ 0 },
+               .roster = c->roster.number,
+               .whole = r->roster < 0,
+               .entries = news_entries (c) };
+  if (r->members != c->members_number)
+    n.control = m->list;
   n.backends.v = v;
   n.backends.n = roster_list (&c->roster, r->roster, c->now, v, max);
   peers_answer (c, r, MSG_NEWS, &n);
--- a/test/stage.c
+++ b/test/stage.c
@@ -353,7 +353,8 @@
                         .leaving = s->db[i].leaving };
   for (int i = 0; i < 2; i++)
     ctl[i]
-        = (member_t){ i + 1, true, STR ("c"), str_of (s->control_address[i]) };
+        = (member_t){ i + 1, true, STR ("c"), str_of (s->control_address[i]),
+                      str_of (s->control_zone[i]) };
   news_t n
       = { .seq = m->seq,
           .boot = 1,
