Let the mutants build with the platform folder, and add three

Three more deliberate faults: a sample of any age proves a read, a leaving database comes back, a primary that answers entry instances is replaced; each is noticed.

--- a/test/mutants.sh
+++ b/test/mutants.sh
@@ -9,10 +9,10 @@
 W=$(mktemp -d) || exit 1
 trap 'rm -rf "$W"' EXIT
 mkdir -p "$W/build/test" "$W/build/cmd"
-cp -a Makefile include lib cmd test tools examples bench "$W" || exit 1
+cp -a Makefile include lib cmd platform test tools examples bench "$W" || exit 1
 cp -a "$B/lib" "$B/libpimentopost.a" "$W/build" || exit 1
 cp -a "$B"/test/*.[od] "$W/build/test" || exit 1
-cp -a "$B/cmd" "$W/build" || exit 1
+cp -a "$B/cmd" "$B/platform" "$W/build" || exit 1
 result=0
 
 # mutant RULE FILE FROM TO TEST: replaces the one line with FROM by TO.
@@ -42,6 +42,9 @@
 mutant R1 lib/entry/xchg.c 'x->covered = yes;' 'x->covered = true;' test_entry_xchg
 mutant R9 lib/route/view.c 'g->cfg_index <= v->cfg_index)' 'false)' test_route
 mutant age lib/route/view.c 'if (g->samples[i].sent >= since)' 'if (true)' test_route
+mutant STALE lib/proxy/mark.c 'if (m->at[at].sent < began - max_age)' 'if (false)' test_fleet
+mutant DRAIN lib/fleet/roster.c 's->leaving = b->leaving || (s->leaving && !reborn);' 's->leaving = b->leaving;' test_fleet
+mutant ONE lib/fleet/takeover.c 'now - t->fail >= limit && t->seen_ok < t->fail' 'now - t->fail >= limit' test_fleet
 
 # R8 shows only in a whole process.
 mutant_process () {
