Name what the proxy's headers declare

Comments of lib/proxy/local.h and proxy.h still named functions and modules by earlier names. Found while reading the change as a newcomer; no code changes.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -2,8 +2,8 @@
    operations.
 
    The wire formats of clients and databases are tables of function pointers
-   (client_codec_t, db_codec_t).  mark, place and waitlist are decisions
-   without I/O or clock; the rest joins them to the loop.  */
+   (client_codec_t, db_codec_t).  Samples and placement are decisions without
+   I/O or clock; the rest joins them to the loop.  */
 
 #ifndef PROXY_H
 #define PROXY_H
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -68,7 +68,7 @@
 void values_set (values_t *v, str_t name, str_t value);
 const char *values_get (const values_t *v, const char *name);
 bool values_drop (values_t *v, str_t name);
-/* values_cover: every value of WANT is in V, and V has no other name.  */
+/* values_equal: V and WANT hold the same names and values.  */
 bool values_equal (const values_t *v, const values_t *want);
 void values_free (values_t *v);
 
@@ -314,7 +314,7 @@
 /* links_bury: frees those that were closed in this turn.  */
 void links_bury (proxy_t *p);
 
-/* request.c */
+/* statement.c */
 void statement_start (session_t *s, const op_t *op);
 /* statement_place: tries to place the statement; it may wait.  */
 void statement_place (session_t *s);
