Wait for the killed database's end before its port is used again

The subshell looks for the end of the process now; no check is changed.

Ruled out: the product's change; ppdbsim, ppload and the PostgreSQL plane are as before, and the port is below the range that the system hands out.

--- a/test/load.sh
+++ b/test/load.sh
@@ -28,7 +28,11 @@
 
 # A primary that lost its rows: acknowledged writes are missing.
 stop db; db
-{ sleep 1; stop db KILL; "$B/bin/ppdbsim" -l 127.0.0.1:$P -n a --primary --members 1 --connections 60 >>"$W/db2.log" 2>&1 & echo $! >"$W/db2.pid"; wait; } & PIDS="$PIDS $!"
+# The subshell cannot wait for a process of its parent: it looks for its end,
+# since the port is free only then.
+ended () { ! [ -e "/proc/$1" ] || grep -q '^State:.Z' "/proc/$1/status"; }
+old=$(cat "$W/db.pid")
+{ sleep 1; stop db KILL; until_true 5 ended "$old"; "$B/bin/ppdbsim" -l 127.0.0.1:$P -n a --primary --members 1 --connections 60 >>"$W/db2.log" 2>&1 & echo $! >"$W/db2.pid"; wait; } & PIDS="$PIDS $!"
 load 3
 code=$?
 kill "$(cat "$W/db2.pid")"
