Add a fault soak of the real programs

Entry and control instances run as processes; databases, clients, the operator and the promoting call are stand-ins in one loop, behind relays that delay, hold one way or both, silence and reset connections. Signals, restarts, lost, full and torn disks, an output that is not read, planned stops and changes of the configuration come in series and overlap. Ruled out: relays between processes by address rules (needs privileges). Before: no soak.

--- a/test/rules.mk
+++ b/test/rules.mk
@@ -45,3 +45,22 @@
 	@$(MAKE) --no-print-directory all $(BENCHES)
 	@for b in $(filter-out %/bench_proxy,$(BENCHES)); do echo "== $$b"; $$b || exit 1; done
 	@B=$(B) tools/bench
+
+# The fault soak: real programs, faults from outside.
+SOAK_OBJ = $(patsubst %.c,$(B)/%.o,$(wildcard test/soak/*.c))
+$(B)/test/soak/soak: $(SOAK_OBJ) $(LIBA)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
+-include $(wildcard $(B)/test/soak/*.d)
+
+tests: $(B)/test/soak/soak
+
+# SOAK_SEEDS runs with fresh seeds, SOAK_JOBS at a time.
+SOAK_SEEDS ?= 8
+SOAK_SECONDS ?= 45
+SOAK_JOBS ?= 4
+SOAK_FIRST ?= $(shell date +%s)
+soak: tests
+	@seq $(SOAK_FIRST) $$(($(SOAK_FIRST) + $(SOAK_SEEDS) - 1)) | xargs -P $(SOAK_JOBS) -I{} sh -c \
+	  '$(B)/test/soak/soak --seed {} --seconds $(SOAK_SECONDS) --place $$(({} % 200 + 1)) $(B)'
+
+.PHONY: soak
