Tear only the log in the soak

Ruled out: a fault of the store (lib/raft/store.c replaces state by rename and appends to log-N only). After: torn writes reach log-N only.

--- a/test/soak/proc.c
+++ b/test/soak/proc.c
@@ -63,7 +63,7 @@
     return;
   if (st.st_size > n->most)
     n->most = st.st_size;
-  if (st.st_mtim.tv_sec < n->at.tv_sec
+  if (strstr (path, "/log-") == NULL || st.st_mtim.tv_sec < n->at.tv_sec
       || (st.st_mtim.tv_sec == n->at.tv_sec
           && st.st_mtim.tv_nsec <= n->at.tv_nsec))
     return;
@@ -71,7 +71,8 @@
   snprintf (n->path, sizeof n->path, "%s", path);
 }
 
-/* A write that was under way when the power went.  */
+/* A write that was under way when the power went.  Only the log is appended
+   to; the other files are written whole and renamed.  */
 static void
 tear (proc_t *p)
 {
