--- a/include/proxy.h
+++ b/include/proxy.h
@@ -91,6 +91,7 @@
 {
   client_kind_t kind;
   str_t host;
+  str_t who; /* who asks, as it says itself */
   op_t op;
 } client_msg_t;
 
@@ -102,7 +103,8 @@
   void (*row) (buf_t *out, str_t row);
   void (*done) (buf_t *out, str_t signature);
   void (*error) (buf_t *out, fail_t f, str_t text);
-  void (*ready) (buf_t *out, tx_t state);
+  /* POS: what the session has written last, for another instance; or none.  */
+  void (*ready) (buf_t *out, tx_t state, pos_t pos);
 } client_codec_t;
 
 typedef enum
@@ -213,14 +215,36 @@
 /* place_lead: a statement that only the primary may serve.  */
 place_t place_lead (const site_t *s, int n);
 
+/* ---- decisions: owners of scarce connections ---- */
+
+enum
+{
+  OWNERS_MAX = 8 /* of a service in one availability zone */
+};
+
+/* Where databases have fewer connections than two for each entry instance, a
+   few instances of each zone own those of a service, and the others forward
+   to them: one queue sees the statements of many sessions, connections are not
+   opened for one statement each, and after a loss of power few are opened at
+   once.  */
+bool owners_needed (int connections, int entries);
+/* owners_count: how many of the NEAR instances of one zone, of ENTRIES in
+   all, own connections to a service with CONNECTIONS to each database.  */
+int owners_count (int connections, int entries, int near);
+/* owners_pick: the K of N addresses that own SERVICE, by rendezvous hashing:
+   one that comes or goes moves no other.  Returns their number.  */
+int owners_pick (str_t service, const str_t *address, int n, int k, int *out);
+
 /* ---- daemon ---- */
 
 typedef struct
 {
   str_t name;
   str_t zone;
-  str_t listen;   /* clients */
-  str_t *control; /* rpc addresses of control instances known at start */
+  str_t listen;       /* clients */
+  str_t peers;        /* told to other instances, which forward to it */
+  str_t peers_listen; /* bound for them; empty: nothing is forwarded */
+  str_t *control;     /* rpc addresses of control instances known at start */
   size_t ncontrol;
   msec_t grace;   /* from SIGTERM to the end of the process */
   msec_t startup; /* that a client may take to ask for its database */
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -415,6 +415,14 @@
   bool gone;    /* signed off */
 } backend_t;
 
+/* Where an entry instance runs statements for others of its availability
+   zone.  */
+typedef struct
+{
+  str_t address;
+  str_t zone;
+} endpoint_t;
+
 /* Heartbeats seen by a control instance, to the other ones.  */
 typedef struct
 {
@@ -422,6 +430,8 @@
   list_t backends; /* backend_t */
   bool whole;      /* all that it knows */
   int64_t entries; /* entry instances that watch the sender */
+  bool has_endpoints;
+  list_t endpoints; /* endpoint_t: of these */
 } roster_t;
 
 /* What an entry instance saw of the primary of a service.  */
@@ -442,6 +452,8 @@
   int64_t roster;  /* number of the roster last received */
   int64_t boot;    /* ... and the start of the instance that numbered it */
   list_t sights;   /* sight_t */
+  str_t address;   /* of its endpoint; empty: it takes nothing */
+  str_t zone;
 } watch_t;
 
 typedef struct
@@ -457,6 +469,8 @@
   list_t backends; /* backend_t */
   list_t control;  /* member_t: control instances */
   int64_t entries; /* entry instances that share the databases */
+  bool has_endpoints;
+  list_t endpoints; /* endpoint_t: those of the receiver's zone */
 } news_t;
 
 typedef enum
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -157,6 +157,7 @@
       peers_sweep (c);
       takeovers_tick (c);
       roster_record (c);
+      endpoint_sweep (c);
       news_spread (c);
     }
   catch_up (c);
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -19,8 +19,10 @@
   READ_TIME = 900,        /* ms that a read may wait for its quorum */
   SUBMIT_TIME = 2500,     /* ms that an order may wait for its quorum */
   RECORD_EVERY = 300,     /* ms between records of the roster */
-  WATCHED_AGE = 8000, /* ms that another's count of entry instances holds */
-  WARM = 5000,        /* ms after the start until all heartbeats were heard */
+  WATCHED_AGE = 8000,  /* ms that another's count of entry instances holds */
+  ENDPOINT_AGE = 1500, /* ms without a report until an endpoint is dropped */
+  WATCH_GAP = 900,     /* ms between reports of an entry instance, at most */
+  WARM = 5000,         /* ms after the start until all heartbeats were heard */
   REPLACED_SLACK = 1000, /* ms that a successor may join before the silence of
                             its predecessor is noticed */
   REPLACED = 2500,       /* ms of silence of a member that another replaced */
@@ -48,8 +50,22 @@
   int64_t roster;
   int64_t members; /* number of the membership told last */
   bool led;        /* as told last */
+  char endpoint[64];
+  char zone[64];
+  int64_t endpoints_number; /* looked at last */
+  uint64_t endpoints_sum;   /* of those told last */
+  int64_t told_endpoints;   /* own ones told to this control instance */
 };
 
+typedef struct
+{
+  char address[64];
+  char zone[64];
+  char from[64]; /* control instance that told, unless OWN */
+  bool own;
+  msec_t heard;
+} cell_endpoint_t;
+
 typedef struct
 {
   char name[64];
@@ -131,6 +147,11 @@
     msec_t at;
   } watched[PEERS];
   size_t nwatched;
+  cell_endpoint_t *endpoint;
+  size_t nendpoint;
+  size_t endpoint_cap;
+  int64_t endpoints_number; /* of changes, from 1 */
+  int64_t own_endpoints_number;
   /* The replicated state.  */
   int64_t version;
   buf_t setup;
@@ -182,6 +203,15 @@
 void news_spread (cell_t *c);
 void gossip (cell_t *c);
 void gossip_again (cell_t *c);
+/* endpoint.c */
+void endpoint_watch (cell_t *c, remote_t *r, const watch_t *m);
+void endpoint_heard (cell_t *c, const roster_t *m);
+void endpoint_sweep (cell_t *c);
+/* endpoint_own, endpoint_near: views to OUT, with room for all.  */
+size_t endpoint_own (const cell_t *c, endpoint_t *out);
+size_t endpoint_near (const cell_t *c, const char *zone, endpoint_t *out);
+/* endpoint_news: those of R's zone have changed since the last call.  */
+bool endpoint_news (cell_t *c, remote_t *r);
 /* probe.c */
 void probes_tick (cell_t *c);
 void probes_stop (cell_t *c);
--- a/lib/cell/message.c
+++ b/lib/cell/message.c
@@ -19,6 +19,7 @@
     roster_beat (&c->roster, LIST_AT (m->backends, backend_t, i), c->now, &e);
   (void)from;
   news_watched (c, m);
+  endpoint_heard (c, m);
   news_spread (c);
 }
 
@@ -62,6 +63,7 @@
   else
     from->roster = m->roster;
   from->watcher = true;
+  endpoint_watch (c, from, m);
   from->seq = m->seq;
   from->version = m->version;
   news_send (c, from);
--- a/lib/cell/news.c
+++ b/lib/cell/news.c
@@ -41,15 +41,16 @@
   return n;
 }
 
-void
-news_send (cell_t *c, remote_t *r)
+static void
+send_news (cell_t *c, remote_t *r, bool endpoints)
 {
   size_t max = c->roster.n;
   backend_t *v = calloc (max + 1, sizeof *v);
+  endpoint_t *x = calloc (c->nendpoint + 1, sizeof *x);
   const members_t *m = raft_member_list (c->raft);
   bool setup = c->version > r->version;
 
-  if (v == NULL)
+  if (v == NULL || x == NULL)
     abort ();
   news_t n = { .seq = r->seq,
                .boot = c->boot,
@@ -59,7 +60,10 @@
                .setup = setup ? buf_str (&c->setup) : (str_t){ 0 },
                .roster = c->roster.number,
                .whole = r->roster < 0,
-               .entries = news_entries (c) };
+               .entries = news_entries (c),
+               .has_endpoints = endpoints };
+  if (endpoints)
+    n.endpoints = (list_t){ x, endpoint_near (c, r->zone, x) };
   if (r->members != c->members_number)
     n.control = m->list;
   n.backends.v = v;
@@ -71,6 +75,13 @@
   if (setup)
     r->version = c->version;
   free (v);
+  free (x);
+}
+
+void
+news_send (cell_t *c, remote_t *r)
+{
+  send_news (c, r, endpoint_news (c, r));
 }
 
 void
@@ -78,10 +89,14 @@
 {
   gossip (c);
   for (remote_t *r = c->remotes; r; r = r->next)
-    if (r->watcher && r->stream
-        && (r->roster < c->roster.number || r->version < c->version
-            || r->led != cell_led (c)))
-      news_send (c, r);
+    {
+      if (!r->watcher || r->stream == NULL)
+        continue;
+      bool endpoints = endpoint_news (c, r);
+      if (endpoints || r->roster < c->roster.number || r->version < c->version
+          || r->led != cell_led (c))
+        send_news (c, r, endpoints);
+    }
 }
 
 /* Sends R what it has not been told.  */
@@ -90,18 +105,25 @@
 {
   size_t max = c->roster.n;
   backend_t *v = calloc (max + 1, sizeof *v);
-  roster_t m = { .from = c->conf.name,
-                 .whole = r->told < 0,
-                 .entries = own_entries (c) };
+  endpoint_t *x = calloc (c->nendpoint + 1, sizeof *x);
+  roster_t m
+      = { .from = c->conf.name,
+          .whole = r->told < 0,
+          .entries = own_entries (c),
+          .has_endpoints = r->told_endpoints != c->own_endpoints_number };
 
-  if (v == NULL)
+  if (v == NULL || x == NULL)
     abort ();
+  if (m.has_endpoints)
+    m.endpoints = (list_t){ x, endpoint_own (c, x) };
   m.backends.v = v;
   m.backends.n = roster_list (&c->roster, r->told, c->now, v, max);
   rpc_encode (stream_out (r->stream), MSG_ROSTER, &m);
   stream_flush (r->stream);
   r->told = c->roster.number;
+  r->told_endpoints = c->own_endpoints_number;
   free (v);
+  free (x);
 }
 
 /* News are lost with their connection, which then counts as told nothing; it
@@ -116,7 +138,9 @@
       const member_t *x = LIST_AT (m->list, member_t, i);
       remote_t *r
           = x->id == raft_id (c->raft) ? NULL : peers_to (c, x->address);
-      if (r && r->told < c->roster.number)
+      if (r
+          && (r->told < c->roster.number
+              || r->told_endpoints != c->own_endpoints_number))
         tell (c, r);
     }
 }
@@ -126,5 +150,5 @@
 {
   c->gossiped = c->now;
   for (remote_t *r = c->remotes; r; r = r->next)
-    r->told = -1;
+    r->told = r->told_endpoints = -1;
 }
--- a/lib/cell/peers.c
+++ b/lib/cell/peers.c
@@ -20,7 +20,7 @@
     abort ();
   r->cell = c;
   r->asked = -1;
-  r->told = -1;
+  r->told = r->told_endpoints = -1;
   r->roster = -1;
   r->next = c->remotes;
   c->remotes = r;
@@ -49,7 +49,7 @@
     r->cell->reply = NULL;
   r->stream = NULL;
   r->asked = -1;
-  r->told = -1;
+  r->told = r->told_endpoints = -1;
   if (r->accepted)
     remote_free (r);
 }
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -29,6 +29,7 @@
   if (s)
     return s;
   s = apr_pcalloc (p->pool, sizeof *s);
+  s->proxy = p;
   snprintf (s->name, sizeof s->name, "%s", key);
   s->connections = 8;
   s->next = p->services;
@@ -164,6 +165,7 @@
     return;
   snprintf (d->address, sizeof d->address, STR_FMT, STR_ARG (b->address));
   snprintf (d->zone, sizeof d->zone, STR_FMT, STR_ARG (b->zone));
+  d->slots = (int)b->slots;
   if (d->leaving != b->leaving || d->gone != b->gone
       || d->primary != b->primary || d->seq < 0)
     log_event (EV_DATABASE,
@@ -269,6 +271,7 @@
 {
   if (n->entries > 0)
     p->entries = (int)n->entries;
+  forward_news (p, n);
   if (n->setup.n && (n->led || p->setup || p->now - p->started >= SETUP_UNLED))
     {
       take_setup (p, n->setup);
--- /dev/null
+++ b/lib/proxy/forward.c
@@ -0,0 +1,466 @@
+#include "local.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Runs the statements of a session at another instance of the availability
+   zone, which owns connections to the service's databases.  The session's
+   values, prepared statements and position stay known here, so that it goes on
+   at any instance when that one is gone.  */
+
+static void peer_open (void *arg);
+static void peer_input (void *arg);
+static void peer_closed (void *arg, err_t *e);
+static const stream_ops_t peer_ops = { peer_open, peer_input, peer_closed };
+
+enum
+{
+  ANSWER_SLACK = 300, /* ms after the route's limit until an owner that does
+                         not answer is given up */
+  DIAL_TIME = 150,    /* ms to reach an owner; it is in the same zone */
+  PEER_SILENCE = 500, /* ms without acknowledgement: its machine is gone */
+  AVOID_TIME = 2000   /* ms that an owner is passed over after a failure;
+                         control drops one that is gone after 1.5 s */
+};
+
+/* ---- whom ---- */
+
+bool
+forward_owned (const proxy_t *p, const service_t *v)
+{
+  return p->nendpoint > 1 && owners_needed (v->connections, p->entries);
+}
+
+bool
+forward_offers (const proxy_t *p)
+{
+  if (p->conf.peers.n == 0 || p->stop_at >= 0 || p->cut_at >= 0)
+    return false;
+  for (const service_t *v = p->services; v; v = v->next)
+    if (owners_needed (v->connections, p->entries))
+      return true;
+  return false;
+}
+
+static void
+list_owners (proxy_t *p, service_t *v)
+{
+  str_t *address = calloc (p->nendpoint + 1, sizeof *address);
+
+  if (address == NULL)
+    abort ();
+  for (size_t i = 0; i < p->nendpoint; i++)
+    address[i] = str_of (p->endpoint[i].address);
+  int k = owners_count (v->connections, p->entries, (int)p->nendpoint);
+  v->nowner = owners_pick (str_of (v->name), address, (int)p->nendpoint, k,
+                           v->owner);
+  v->owners_number = p->endpoints_number;
+  v->owns = false;
+  for (int i = 0; i < v->nowner; i++)
+    v->owns |= str_eq (address[v->owner[i]], p->conf.peers);
+  free (address);
+}
+
+bool
+forward_owns (proxy_t *p, service_t *v)
+{
+  if (!forward_owned (p, v))
+    return true;
+  if (v->owners_number != p->endpoints_number)
+    list_owners (p, v);
+  return v->owns;
+}
+
+int
+forward_sharers (proxy_t *p, service_t *v)
+{
+  int entries = p->entries > 0 ? p->entries : ENTRIES_GUESS;
+
+  if (!forward_owned (p, v))
+    return entries;
+  forward_owns (p, v);
+  int n = v->nowner * entries / (int)p->nendpoint;
+  return n > 0 ? n : 1;
+}
+
+static endpoint_entry_t *
+pick (proxy_t *p, service_t *v)
+{
+  for (int i = 0; i < v->nowner; i++)
+    {
+      int at = v->owner[(v->turn + i) % v->nowner];
+      endpoint_entry_t *x = &p->endpoint[at];
+      if (x->avoid > p->now)
+        continue;
+      v->turn += i + 1;
+      return x;
+    }
+  return NULL;
+}
+
+static void
+avoid (proxy_t *p, const char *address)
+{
+  for (size_t i = 0; i < p->nendpoint; i++)
+    if (strcmp (p->endpoint[i].address, address) == 0)
+      p->endpoint[i].avoid = p->now + AVOID_TIME;
+}
+
+void
+forward_news (proxy_t *p, const news_t *n)
+{
+  size_t max = n->endpoints.n;
+  endpoint_entry_t *v;
+
+  if (!n->has_endpoints)
+    return;
+  v = calloc (max + 1, sizeof *v);
+  if (v == NULL)
+    abort ();
+  for (size_t i = 0; i < max; i++)
+    {
+      str_t a = LIST_AT (n->endpoints, endpoint_t, i)->address;
+      snprintf (v[i].address, sizeof v[i].address, STR_FMT, STR_ARG (a));
+      for (size_t k = 0; k < p->nendpoint; k++)
+        if (strcmp (p->endpoint[k].address, v[i].address) == 0)
+          v[i].avoid = p->endpoint[k].avoid;
+    }
+  free (p->endpoint);
+  p->endpoint = v;
+  p->nendpoint = max;
+  p->endpoints_number++;
+}
+
+static bool
+is_listed (const proxy_t *p, const char *address)
+{
+  for (size_t i = 0; i < p->nendpoint; i++)
+    if (strcmp (p->endpoint[i].address, address) == 0)
+      return true;
+  return false;
+}
+
+/* ---- opening ---- */
+
+bool
+forward_wanted (session_t *s, const op_t *op)
+{
+  proxy_t *p = s->proxy;
+  const route_entry_t *r;
+  service_t *v;
+
+  if (s->forward)
+    return true;
+  if (s->fellow || !s->started || s->tx != TX_NONE
+      || (op->kind != OP_BEGIN && op->kind != OP_BEGIN_READ
+          && op->kind != OP_READ && op->kind != OP_WRITE
+          && op->kind != OP_EXECUTE))
+    return false;
+  r = route_find (p, s->host);
+  if (r == NULL)
+    return false;
+  v = service_get (p, r->service);
+  return !forward_owns (p, v) && pick (p, v) != NULL;
+}
+
+/* Hands the session's state over; its answers are counted and dropped.  */
+static void
+hand_over (session_t *s, forward_t *f)
+{
+  const db_codec_t *c = s->proxy->conf.db;
+  buf_t *out = stream_out (f->stream);
+  char who[64];
+  op_t op = { .kind = OP_SET, .id = STR ("0") };
+
+  snprintf (who, sizeof who, "%lld.%lld", (long long)s->own.term,
+            (long long)s->own.number);
+  c->startup (out, str_of (s->host), str_of (who), (str_t){ 0 });
+  for (int i = 0; i < s->values.n; i++)
+    {
+      op.name = str_of (s->values.at[i].name);
+      op.arg = str_of (s->values.at[i].value);
+      c->op (out, &op, (str_t){ 0 }, (pos_t){ 0 });
+    }
+  op.kind = OP_PREPARE;
+  for (int i = 0; i < s->prepared.n; i++)
+    {
+      op.name = str_of (s->prepared.at[i].name);
+      op.writes = s->prepared.at[i].value[0] == 'w';
+      op.arg = str_of (s->prepared.at[i].value + 1);
+      c->op (out, &op, (str_t){ 0 }, (pos_t){ 0 });
+    }
+  f->skip = 1 + s->values.n + s->prepared.n;
+}
+
+static bool
+forward_open (session_t *s)
+{
+  proxy_t *p = s->proxy;
+  const route_entry_t *r = route_find (p, s->host);
+  endpoint_entry_t *x = r ? pick (p, service_get (p, r->service)) : NULL;
+  forward_t *f = calloc (1, sizeof *f);
+  err_t e = { 0 };
+
+  if (f == NULL)
+    abort ();
+  if (x)
+    f->stream = stream_dial (p->loop, str_of (x->address), PEER_SILENCE,
+                             &peer_ops, s, &e);
+  if (f->stream == NULL)
+    {
+      if (x)
+        avoid (p, x->address);
+      free (f);
+      return false;
+    }
+  snprintf (f->address, sizeof f->address, "%s", x->address);
+  f->limit = r->timeout;
+  hand_over (s, f);
+  s->forward = f;
+  counter_add (p->forwarded, 1);
+  return true;
+}
+
+static void
+forward_free (session_t *s)
+{
+  forward_t *f = s->forward;
+
+  s->forward = NULL;
+  buf_free (&f->text);
+  free (f);
+}
+
+void
+forward_end (session_t *s)
+{
+  if (s->forward == NULL)
+    return;
+  stream_close (s->forward->stream);
+  forward_free (s);
+}
+
+bool
+forward_op (session_t *s, const op_t *op, str_t raw)
+{
+  proxy_t *p = s->proxy;
+  forward_t *f;
+
+  if (s->forward == NULL && !forward_open (s))
+    return false;
+  f = s->forward;
+  f->active = true;
+  f->sent = p->now;
+  f->done = false;
+  buf_take (&f->text, buf_len (&f->text));
+  buf_adds (&f->text, raw);
+  buf_adds (stream_out (f->stream), raw);
+  stream_flush (f->stream);
+  if (s->tx == TX_OPEN
+      && (op->kind == OP_WRITE
+          || (op->kind == OP_EXECUTE && session_executes_write (s, op))))
+    s->tx_wrote = true;
+  s->seen = p->now;
+  wake_at (p, p->now + (f->up ? f->limit + ANSWER_SLACK : DIAL_TIME));
+  return true;
+}
+
+/* ---- the other instance is gone ---- */
+
+static void
+answer_lost (session_t *s, const op_t *op)
+{
+  bool writes = op->kind == OP_WRITE
+                || (op->kind == OP_EXECUTE && session_executes_write (s, op));
+
+  if ((s->tx == TX_NONE && writes)
+      || (op->kind == OP_COMMIT && s->tx == TX_OPEN && s->tx_wrote))
+    {
+      session_tx_end (s);
+      session_refuse (s, FAIL_INDOUBT, STR ("an instance was lost"));
+    }
+  else if (op->kind == OP_COMMIT && s->tx == TX_OPEN)
+    {
+      session_tx_end (s);
+      session_refuse (s, FAIL_ABORTED, STR ("an instance was lost"));
+    }
+  else if (op->kind == OP_ROLLBACK)
+    {
+      session_tx_end (s);
+      session_ok (s);
+    }
+  else
+    {
+      s->tx = TX_FAILED;
+      session_refuse (s, FAIL_ABORTED, STR ("an instance was lost"));
+    }
+}
+
+/* The session goes on here.  What may have run at the other instance is not
+   repeated, but for statements without effect.  */
+static void
+take_back (session_t *s, const char *cause)
+{
+  proxy_t *p = s->proxy;
+  forward_t *f = s->forward;
+  bool active = f->active, up = f->up;
+  buf_t text = f->text;
+  client_msg_t m;
+  size_t used;
+
+  buf_init (&f->text);
+  log_event (EV_FORWARD_LOST, "instance=%s host=%s cause=%s active=%d ms=%lld",
+             f->address, s->host, cause, active,
+             active ? (long long)(p->now - f->sent) : 0LL);
+  avoid (p, f->address);
+  if (p->now - p->watch.led >= CUT_CONTROL / 2)
+    p->owner_lost = p->now;
+  forward_free (s);
+  if (!active)
+    {
+      s->tx_lost = s->tx == TX_OPEN;
+      buf_free (&text);
+      return;
+    }
+  if (p->conf.client->decode (buf_str (&text), &used, &m) <= 0)
+    abort (); /* it was decoded before */
+  bool writes
+      = m.op.kind == OP_WRITE
+        || (m.op.kind == OP_EXECUTE && session_executes_write (s, &m.op));
+  if (s->tx == TX_NONE && (!up || !writes))
+    session_again (s, &m);
+  else if (s->tx == TX_FAILED)
+    session_again (s, &m);
+  else
+    {
+      answer_lost (s, &m.op);
+      session_next (s);
+    }
+  buf_free (&text);
+}
+
+static void
+peer_open (void *arg)
+{
+  session_t *s = arg;
+
+  s->forward->up = true;
+}
+
+static void
+peer_closed (void *arg, err_t *e)
+{
+  session_t *s = arg;
+
+  s->proxy->now = loop_now (s->proxy->loop);
+  take_back (s, err_name (e->code));
+}
+
+void
+forward_expire (session_t *s, msec_t now)
+{
+  forward_t *f = s->forward;
+
+  if (f->active
+      && now - f->sent >= (f->up ? f->limit + ANSWER_SLACK : DIAL_TIME))
+    {
+      stream_close (f->stream);
+      take_back (s, "timeout");
+      return;
+    }
+  /* One that is leaving is left between transactions.  */
+  if (!f->active && s->tx == TX_NONE && !is_listed (s->proxy, f->address))
+    forward_end (s);
+}
+
+/* ---- answers ---- */
+
+static void
+apply (session_t *s)
+{
+  client_msg_t m;
+  size_t used;
+  char shape[NAME_LEN + 1];
+
+  if (!s->forward->done
+      || s->proxy->conf.client->decode (buf_str (&s->forward->text), &used, &m)
+             <= 0)
+    return;
+  if (m.op.kind == OP_SET)
+    values_set (&s->values, m.op.name, m.op.arg);
+  else if (m.op.kind == OP_DEALLOCATE)
+    values_drop (&s->prepared, m.op.name);
+  else if (m.op.kind == OP_PREPARE && m.op.arg.n < NAME_LEN)
+    {
+      snprintf (shape, sizeof shape, "%c" STR_FMT, m.op.writes ? 'w' : 'r',
+                STR_ARG (m.op.arg));
+      values_set (&s->prepared, m.op.name, str_of (shape));
+    }
+}
+
+static void
+answered (session_t *s, const db_msg_t *m)
+{
+  forward_t *f = s->forward;
+
+  apply (s);
+  f->active = false;
+  if (pos_cmp (m->pos, s->own) > 0)
+    s->own = m->pos;
+  if (m->state == TX_NONE)
+    session_tx_end (s);
+  s->tx = m->state;
+  s->proxy->conf.client->ready (stream_out (s->stream), s->tx, (pos_t){ 0 });
+  stream_flush (s->stream);
+  session_next (s);
+}
+
+/* False when the other instance does not do what it should.  */
+static bool
+take (session_t *s, const db_msg_t *m, str_t raw)
+{
+  forward_t *f = s->forward;
+
+  if (f->skip)
+    {
+      f->skip -= m->kind == DB_READY;
+      return m->kind != DB_ERROR;
+    }
+  if (!f->active)
+    return false;
+  if (m->kind == DB_READY)
+    {
+      answered (s, m);
+      return true;
+    }
+  f->done |= m->kind == DB_DONE;
+  buf_adds (stream_out (s->stream), raw);
+  return true;
+}
+
+static void
+peer_input (void *arg)
+{
+  session_t *s = arg;
+  proxy_t *p = s->proxy;
+  db_msg_t m;
+  size_t used;
+  int got = 0;
+
+  p->now = loop_now (p->loop);
+  while (s->forward)
+    {
+      stream_t *st = s->forward->stream;
+      str_t in = buf_str (stream_in (st));
+      got = p->conf.db->decode (in, &used, &m);
+      if (got <= 0 || !take (s, &m, (str_t){ in.p, used }))
+        break;
+      buf_take (stream_in (st), used);
+      got = 0;
+    }
+  if (got == 0 || s->forward == NULL)
+    return;
+  stream_close (s->forward->stream);
+  take_back (s, "protocol-violation");
+}
--- a/lib/proxy/health.c
+++ b/lib/proxy/health.c
@@ -15,12 +15,15 @@
 }
 
 /* Control and a primary at once out of reach: the zone is cut off.  One of
-   them alone is no better elsewhere.  */
+   them alone is no better elsewhere.  An instance that owns no connections
+   learns of the primaries from the owners, which leave their sessions.  */
 static bool
 cut_off (proxy_t *p, msec_t now)
 {
   if (now - p->watch.led < CUT_CONTROL)
     return false;
+  if (p->owner_lost && now - p->owner_lost < OWNER_LOST)
+    return true;
   for (service_t *s = p->services; s; s = s->next)
     if (leader_lost (s, now))
       return true;
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -8,7 +8,11 @@
 static void link_opened (void *arg);
 static const stream_ops_t link_ops = { link_opened, link_input, link_closed };
 
-static proxy_t *proxy_of;
+static proxy_t *
+proxy_of (const link_t *k)
+{
+  return k->db->service->proxy;
+}
 
 static void
 push (link_t *k, step_t step)
@@ -33,7 +37,6 @@
 
   if (k == NULL)
     abort ();
-  proxy_of = p;
   k->db = d;
   k->since = p->now;
   k->stream
@@ -62,7 +65,7 @@
 {
   link_t *k = arg;
 
-  k->sent = loop_now (proxy_of->loop);
+  k->sent = loop_now (proxy_of (k)->loop);
 }
 
 static void
@@ -90,8 +93,8 @@
   buf_free (&k->rows);
   buf_free (&k->text);
   /* A callback of this turn may still hold it.  */
-  k->next = proxy_of->dead;
-  proxy_of->dead = k;
+  k->next = proxy_of (k)->dead;
+  proxy_of (k)->dead = k;
 }
 
 void
@@ -121,7 +124,7 @@
 link_closed (void *arg, err_t *e)
 {
   link_t *k = arg;
-  proxy_t *p = proxy_of;
+  proxy_t *p = proxy_of (k);
   session_t *s = k->owner;
   db_t *d = k->db;
   service_t *v = d->service;
@@ -158,13 +161,14 @@
 }
 
 static bool
-one_each (const proxy_t *p, const service_t *s)
+one_each (proxy_t *p, service_t *s)
 {
-  return p->entries > 0 && s->connections > p->entries;
+  return p->entries > 0 && forward_owns (p, s)
+         && s->connections > forward_sharers (p, s);
 }
 
 static db_t *
-cold (const proxy_t *p, msec_t now)
+cold (proxy_t *p, msec_t now)
 {
   for (service_t *s = p->services; s; s = s->next)
     for (db_t *d = s->dbs; d && one_each (p, s); d = d->next)
@@ -518,7 +522,7 @@
 link_input (void *arg)
 {
   link_t *k = arg;
-  proxy_t *p = proxy_of;
+  proxy_t *p = proxy_of (k);
   /* Both outlive a close until the turn ends.  */
   stream_t *st = k->stream;
   db_msg_t m;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -35,9 +35,10 @@
   WATCH_EVERY = 300,  /* ms between reports to control */
   WATCH_LOST = 800,   /* ms without news: another control instance */
   CUT_CONTROL
-  = 1000,           /* ms without a control instance that has a leader, and */
-  CUT_LEADER = 300, /* ms without the primary of a service: this zone is cut
-                       off, and another serves its clients better */
+  = 1000,            /* ms without a control instance that has a leader, and */
+  CUT_LEADER = 300,  /* ms without the primary of a service: this zone is cut
+                        off, and another serves its clients better */
+  OWNER_LOST = 2000, /* ms that the loss of an owner counts as a sign of it */
   NOT_READY_TIME = 2200, /* ms after SIGTERM until sessions are closed; the
                             balancer needs two probes a second apart */
   CLOSE_BATCH = 12,      /* sessions closed in one turn of a planned stop */
@@ -129,6 +130,7 @@
   char zone[NAME_LEN];
   int64_t born;
   int64_t seq;
+  int slots;    /* statements that it runs at once; 0: unknown */
   bool primary; /* as control heard */
   bool leaving;
   bool gone;
@@ -148,14 +150,43 @@
 struct service
 {
   service_t *next;
+  proxy_t *proxy;
   char name[NAME_LEN];
   int connections;
+  /* Instances of the own zone that own connections to it.  */
+  int owner[OWNERS_MAX]; /* index of the endpoint */
+  int nowner;
+  int turn; /* of the next session */
+  bool owns;
+  int64_t owners_number; /* of the endpoints that they were picked from */
   db_t *dbs;
   db_t *leader;
   marks_t marks;
   session_t *waiting; /* oldest first */
 };
 
+/* ---- other instances ---- */
+
+typedef struct
+{
+  char address[NAME_LEN];
+  msec_t avoid; /* passed over until */
+} endpoint_entry_t;
+
+/* A session's statements run at another instance.  */
+typedef struct
+{
+  stream_t *stream;
+  char address[NAME_LEN];
+  bool up;
+  int skip;    /* answers to the session's state */
+  bool active; /* a statement is under way */
+  bool done;   /* it has succeeded */
+  msec_t sent;
+  msec_t limit; /* ms of one statement */
+  buf_t text;   /* of the statement, as the client sent it */
+} forward_t;
+
 /* ---- sessions ---- */
 
 /* The statement that a session waits for.  */
@@ -192,8 +223,10 @@
   service_t *service; /* of the transaction */
   tx_t tx;
   bool started;
-  bool tx_read;  /* opened as read only */
-  bool tx_begun; /* LINK is in the transaction */
+  bool fellow;        /* another instance forwards it */
+  forward_t *forward; /* or NULL */
+  bool tx_read;       /* opened as read only */
+  bool tx_begun;      /* LINK is in the transaction */
   bool tx_wrote;
   bool tx_lost; /* its connection ended while no statement ran */
   msec_t tx_began;
@@ -256,6 +289,11 @@
   int nsession;
   int closing; /* sessions that may still be closed in this turn */
   int entries; /* entry instances that share the databases; 0: unknown */
+  int peer_listener;
+  endpoint_entry_t *endpoint; /* instances of the own zone */
+  size_t nendpoint;
+  int64_t endpoints_number;
+  msec_t owner_lost; /* while control was out of reach, 0: never */
   service_t *services;
   link_t *dead;
   watcher_t watch;
@@ -269,6 +307,7 @@
   atomic_bool ready;
   counter_t *retried;
   counter_t *opened;
+  counter_t *forwarded;
   counter_t *reads_replica;
   counter_t *reads_primary;
   counter_t *reads_near;
@@ -327,8 +366,32 @@
 void statement_drop (session_t *s);
 void statement_fail (session_t *s, fail_t f, str_t text);
 
+/* forward.c */
+void forward_news (proxy_t *p, const news_t *n);
+/* forward_offers: this instance may run statements for others.  */
+bool forward_offers (const proxy_t *p);
+/* forward_owned: few instances own the connections to V.  */
+bool forward_owned (const proxy_t *p, const service_t *v);
+/* forward_owns: it opens connections to databases of V itself.  */
+bool forward_owns (proxy_t *p, service_t *v);
+/* forward_sharers: instances that open connections to databases of V.  */
+int forward_sharers (proxy_t *p, service_t *v);
+bool forward_wanted (session_t *s, const op_t *op);
+/* forward_op: RAW is OP as the client sent it.  False when no other instance
+   takes it.  */
+bool forward_op (session_t *s, const op_t *op, str_t raw);
+void forward_expire (session_t *s, msec_t now);
+void forward_end (session_t *s);
+
 /* session.c */
-void session_open (proxy_t *p, int fd);
+/* session_open: FELLOW: the client is another instance.  */
+void session_open (proxy_t *p, int fd, bool fellow);
+void session_state (session_t *s);
+void session_refuse (session_t *s, fail_t f, str_t why);
+/* session_executes_write: OP runs a prepared statement that writes.  */
+bool session_executes_write (session_t *s, const op_t *op);
+/* session_again: M, which came before, is run here.  */
+void session_again (session_t *s, client_msg_t *m);
 void session_input (void *arg);
 /* session_next: the statement is answered; takes the next one.  */
 void session_next (session_t *s);
--- a/lib/proxy/metrics.c
+++ b/lib/proxy/metrics.c
@@ -13,6 +13,9 @@
 
   p->retried = counter_get ("pimentopost_retried_total",
                             "statements sent to another database");
+  p->forwarded = counter_get ("pimentopost_forwarded_total",
+                              "sessions whose statements run at another "
+                              "instance");
   p->opened = counter_get ("pimentopost_connections_opened_total",
                            "connections opened to databases");
   p->reads_replica = counter_get ("pimentopost_reads_replica_total",
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -17,22 +17,37 @@
 }
 
 static void
-on_client (void *arg, uint32_t events)
+accept_all (proxy_t *p, int listener, bool fellow)
 {
-  proxy_t *p = arg;
-
-  (void)events;
   p->now = loop_now (p->loop);
   for (;;)
     {
-      int fd = accept4 (p->listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
         return;
-      session_open (p, fd);
+      session_open (p, fd, fellow);
       wake_at (p, p->now + p->conf.startup);
     }
 }
 
+static void
+on_client (void *arg, uint32_t events)
+{
+  proxy_t *p = arg;
+
+  (void)events;
+  accept_all (p, p->listener, false);
+}
+
+static void
+on_fellow (void *arg, uint32_t events)
+{
+  proxy_t *p = arg;
+
+  (void)events;
+  accept_all (p, p->peer_listener, true);
+}
+
 proxy_t *
 proxy_new (apr_pool_t *pool, loop_t *l, const proxy_conf_t *c, err_t *e)
 {
@@ -53,7 +68,13 @@
   p->listener = rpc_listen (c->listen, e);
   if (p->listener < 0 || !loop_watch (l, p->listener, on_client, p, e))
     return NULL;
-  return p;
+  if (c->peers_listen.n == 0)
+    return p;
+  p->peer_listener = rpc_listen (c->peers_listen, e);
+  return p->peer_listener >= 0
+                 && loop_watch (l, p->peer_listener, on_fellow, p, e)
+             ? p
+             : NULL;
 }
 
 void
@@ -119,7 +140,9 @@
     stop_turn (p, now);
   health_turn (p, now);
   for (session_t *s = p->sessions; s; s = s->next)
-    if (s->req.active)
+    if (s->forward && s->forward->active)
+      wake_at (p, now + SWEEP);
+    else if (s->req.active)
       wake_at (p, s->req.attempt > now && s->req.attempt < s->req.deadline
                       ? s->req.attempt
                       : s->req.deadline);
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -16,13 +16,14 @@
 }
 
 void
-session_open (proxy_t *p, int fd)
+session_open (proxy_t *p, int fd, bool fellow)
 {
   session_t *s = calloc (1, sizeof *s);
 
   if (s == NULL)
     abort ();
   s->proxy = p;
+  s->fellow = fellow;
   s->opened = s->seen = p->now;
   s->next = p->sessions;
   if (p->sessions)
@@ -38,6 +39,7 @@
   proxy_t *p = s->proxy;
 
   statement_drop (s);
+  forward_end (s);
   if (s->link)
     link_release (p, s->link);
   if (s->prev)
@@ -73,21 +75,24 @@
 /* ---- answers of the proxy itself ---- */
 
 void
-session_ok (session_t *s)
+session_state (session_t *s)
 {
-  const client_codec_t *c = s->proxy->conf.client;
-
-  c->done (out (s), (str_t){ 0 });
-  c->ready (out (s), s->tx);
+  s->proxy->conf.client->ready (out (s), s->tx,
+                                s->fellow ? s->own : (pos_t){ 0 });
 }
 
-static void
-refuse (session_t *s, fail_t f, str_t why)
+void
+session_ok (session_t *s)
 {
-  const client_codec_t *c = s->proxy->conf.client;
+  s->proxy->conf.client->done (out (s), (str_t){ 0 });
+  session_state (s);
+}
 
-  c->error (out (s), f, why);
-  c->ready (out (s), s->tx);
+void
+session_refuse (session_t *s, fail_t f, str_t why)
+{
+  s->proxy->conf.client->error (out (s), f, why);
+  session_state (s);
 }
 
 void
@@ -133,16 +138,36 @@
   return false;
 }
 
+/* Another instance says what its session has written last.  */
+static void
+take_own (session_t *s, str_t who)
+{
+  const char *dot = who.n ? memchr (who.p, '.', who.n) : NULL;
+  size_t n = dot ? (size_t)(dot - who.p) : 0;
+  pos_t pos;
+
+  if (s->fellow && dot && str_int ((str_t){ who.p, n }, &pos.term)
+      && str_int ((str_t){ who.p + n + 1, who.n - n - 1 }, &pos.number))
+    s->own = pos;
+}
+
 static bool
-startup (session_t *s, str_t host)
+startup (session_t *s, str_t host, str_t who)
 {
   if (host.n >= sizeof s->host)
     host.n = sizeof s->host - 1;
   snprintf (s->host, sizeof s->host, STR_FMT, STR_ARG (host));
   if (!use_route (s))
     return no_database (s);
+  if (s->fellow && s->proxy->cut_at >= 0)
+    {
+      session_refuse (s, FAIL_BUSY, STR ("cut off"));
+      session_end (s);
+      return false;
+    }
   s->started = true;
-  s->proxy->conf.client->ready (out (s), TX_NONE);
+  take_own (s, who);
+  session_state (s);
   return true;
 }
 
@@ -159,10 +184,10 @@
   else if (op->kind == OP_COMMIT)
     {
       session_tx_end (s);
-      refuse (s, FAIL_ABORTED, STR ("the transaction had failed"));
+      session_refuse (s, FAIL_ABORTED, STR ("the transaction had failed"));
     }
   else
-    refuse (s, FAIL_MALFORMED, STR ("the transaction has failed"));
+    session_refuse (s, FAIL_MALFORMED, STR ("the transaction has failed"));
   return true;
 }
 
@@ -171,7 +196,7 @@
 {
   if (s->tx != TX_NONE)
     {
-      refuse (s, FAIL_MALFORMED, STR ("a transaction is open"));
+      session_refuse (s, FAIL_MALFORMED, STR ("a transaction is open"));
       return true;
     }
   if (!use_route (s))
@@ -191,7 +216,7 @@
 
   if (s->tx == TX_NONE)
     {
-      refuse (s, FAIL_MALFORMED, STR ("no transaction is open"));
+      session_refuse (s, FAIL_MALFORMED, STR ("no transaction is open"));
       return;
     }
   session_tx_end (s);
@@ -207,7 +232,7 @@
 
   if (op->arg.n >= NAME_LEN)
     {
-      refuse (s, FAIL_MALFORMED, STR ("the shape is too long"));
+      session_refuse (s, FAIL_MALFORMED, STR ("the shape is too long"));
       return;
     }
   snprintf (shape, sizeof shape, "%c" STR_FMT, op->writes ? 'w' : 'r',
@@ -224,7 +249,7 @@
     session_tx_end (s);
   else
     s->tx = TX_FAILED;
-  refuse (s, FAIL_ABORTED, STR ("the connection was lost"));
+  session_refuse (s, FAIL_ABORTED, STR ("the connection was lost"));
 }
 
 /* False when the session is closed.  */
@@ -236,7 +261,7 @@
 
   if (op->kind == OP_COMMIT && s->tx == TX_NONE)
     {
-      refuse (s, FAIL_MALFORMED, STR ("no transaction is open"));
+      session_refuse (s, FAIL_MALFORMED, STR ("no transaction is open"));
       return true;
     }
   if (op->kind == OP_EXECUTE)
@@ -246,7 +271,7 @@
       if (shape == NULL)
         {
           s->tx = s->tx == TX_NONE ? TX_NONE : TX_FAILED;
-          refuse (s, FAIL_NOSTMT, op->name);
+          session_refuse (s, FAIL_NOSTMT, op->name);
           return true;
         }
       op->writes = shape[0] == 'w';
@@ -290,10 +315,10 @@
       if (values_drop (&s->prepared, op->name))
         session_ok (s);
       else
-        refuse (s, FAIL_NOSTMT, op->name);
+        session_refuse (s, FAIL_NOSTMT, op->name);
       return true;
     case OP_MALFORMED:
-      refuse (s, FAIL_MALFORMED, STR ("not a statement"));
+      session_refuse (s, FAIL_MALFORMED, STR ("not a statement"));
       return true;
     default:
       return statement (s, op);
@@ -310,10 +335,33 @@
       session_end (s);
       return false;
     }
-  return m->kind == CLIENT_STARTUP ? startup (s, m->host)
+  return m->kind == CLIENT_STARTUP ? startup (s, m->host, m->who)
                                    : operate (s, &m->op);
 }
 
+bool
+session_executes_write (session_t *s, const op_t *op)
+{
+  char name[NAME_LEN];
+
+  snprintf (name, sizeof name, STR_FMT, STR_ARG (op->name));
+  const char *shape = values_get (&s->prepared, name);
+  return shape && shape[0] == 'w';
+}
+
+void
+session_again (session_t *s, client_msg_t *m)
+{
+  if (operate (s, &m->op) && !s->req.active)
+    session_next (s);
+}
+
+static bool
+is_busy (const session_t *s)
+{
+  return s->req.active || (s->forward && s->forward->active);
+}
+
 static void
 advance (session_t *s)
 {
@@ -325,13 +373,16 @@
   /* Without a configuration it is not known which databases exist.  */
   if (p->setup == NULL)
     return;
-  while (!s->req.active
+  while (!is_busy (s)
          && (got = p->conf.client->decode (buf_str (stream_in (s->stream)),
                                            &used, &m))
                 > 0)
     {
       stream_t *st = s->stream;
-      if (!take (s, &m))
+      str_t raw = { buf_str (stream_in (st)).p, used };
+      bool elsewhere = m.kind == CLIENT_OP && forward_wanted (s, &m.op)
+                       && forward_op (s, &m.op, raw);
+      if (!elsewhere && !take (s, &m))
         return;
       buf_take (stream_in (st), used);
     }
@@ -392,6 +443,13 @@
       session_end (s);
       return;
     }
+  if (s->forward)
+    {
+      bool active = s->forward->active;
+      forward_expire (s, now);
+      if (active)
+        return;
+    }
   if (idle_too_long (s, now))
     {
       link_t *k = s->link;
@@ -410,6 +468,11 @@
       advance (s);
       return;
     }
+  if (s->fellow && p->cut_at >= 0 && s->tx == TX_NONE)
+    {
+      session_end (s);
+      return;
+    }
   if (p->closing > 0 && s->tx == TX_NONE && stream_quiet (s->stream))
     {
       p->closing--;
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -93,7 +93,7 @@
   log_failure (s, f);
   statement_drop (s);
   p->conf.client->error (client (s), f, text);
-  p->conf.client->ready (client (s), s->tx);
+  session_state (s);
   session_next (s);
 }
 
@@ -152,7 +152,7 @@
     }
   give_rows (s, k);
   p->conf.client->done (client (s), buf_str (&k->text));
-  p->conf.client->ready (client (s), s->tx);
+  session_state (s);
 }
 
 static void
@@ -193,26 +193,38 @@
   statement_place (s);
 }
 
+/* Connections held by a transaction, or by a statement whose session has gone
+   and whose answer may never come.  */
 static int
 pinned (const db_t *d)
 {
   int n = 0;
 
   for (const link_t *k = d->links; k; k = k->next)
-    n += k->in_tx;
+    n += k->in_tx || (k->state == LINK_BUSY && k->owner == NULL);
   return n;
 }
 
+/* Connections for statements that run at once: one where every instance has
+   its own; an owner's share of the database's slots, and one more, where few
+   instances run the statements of all.  */
+static int
+wanted (proxy_t *p, service_t *v, const db_t *d)
+{
+  return forward_owned (p, v) ? 1 + 2 * d->slots / forward_sharers (p, v) : 1;
+}
+
 /* Connections that this instance may open to a database: one, and one more for
    each that a transaction holds while its client pauses, up to its share of
    half of them.  After a power loss the other half takes the new connections
    while the database still counts the lost ones.  */
 static int
-link_limit (const proxy_t *p, const service_t *v, const db_t *d)
+link_limit (proxy_t *p, service_t *v, const db_t *d)
 {
-  int entries = p->entries > 0 ? p->entries : ENTRIES_GUESS;
-  int share = v->connections / 2 / entries;
-  int need = 1 + pinned (d);
+  bool own = forward_owned (p, v);
+  int share = (own ? v->connections * 3 / 4 : v->connections / 2)
+              / forward_sharers (p, v);
+  int need = wanted (p, v, d) + pinned (d);
 
   if (d->full_at && p->now - d->full_at < FULL_HOLD)
     return d->open + d->opening;
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -55,7 +55,11 @@
                 .seq = ++w->seq,
                 .version = p->setup ? p->setup->version : 0,
                 .roster = w->roster,
-                .boot = w->boot };
+                .boot = w->boot,
+                .zone = p->conf.zone };
+
+  if (proxy_ready (p) && forward_offers (p))
+    m.address = p->conf.peers;
 
   for (service_t *s = p->services; s && n < 64; s = s->next)
     for (db_t *d = s->dbs; d && n < 64; d = d->next)
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -245,9 +245,14 @@
         BOOL (backend_t, gone) };
 TABLE (backend);
 
+static const field_t endpoint_fields[]
+    = { TEXT (endpoint_t, address), TEXT (endpoint_t, zone) };
+TABLE (endpoint);
+
 static const field_t roster_fields[]
-    = { TEXT (roster_t, from), LIST (roster_t, backends, backend),
-        BOOL (roster_t, whole), INT (roster_t, entries) };
+    = { TEXT (roster_t, from),          LIST (roster_t, backends, backend),
+        BOOL (roster_t, whole),         INT (roster_t, entries),
+        BOOL (roster_t, has_endpoints), LIST (roster_t, endpoints, endpoint) };
 TABLE (roster);
 
 static const field_t sight_fields[]
@@ -256,9 +261,10 @@
 TABLE (sight);
 
 static const field_t watch_fields[]
-    = { TEXT (watch_t, name),   INT (watch_t, seq),
-        INT (watch_t, version), INT (watch_t, roster),
-        INT (watch_t, boot),    LIST (watch_t, sights, sight) };
+    = { TEXT (watch_t, name),    INT (watch_t, seq),
+        INT (watch_t, version),  INT (watch_t, roster),
+        INT (watch_t, boot),     LIST (watch_t, sights, sight),
+        TEXT (watch_t, address), TEXT (watch_t, zone) };
 TABLE (watch);
 
 static const field_t news_fields[] = { INT (news_t, seq),
@@ -271,7 +277,9 @@
                                        BOOL (news_t, whole),
                                        LIST (news_t, backends, backend),
                                        LIST (news_t, control, member),
-                                       INT (news_t, entries) };
+                                       INT (news_t, entries),
+                                       BOOL (news_t, has_endpoints),
+                                       LIST (news_t, endpoints, endpoint) };
 TABLE (news);
 
 static const field_t fleet_record_fields[]
--- a/test/stage.c
+++ b/test/stage.c
@@ -323,7 +323,7 @@
     { STR ("own"), STR ("svc"), FRESH_SESSION, 2500, s->timeout, 200, 2 },
     { STR ("new"), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 2 },
   };
-  service_entry_t v = { STR ("svc"), 40, 0 };
+  service_entry_t v = { STR ("svc"), s->connections, 0 };
   setup_t m = { .version = s->version,
                 .tx_idle = s->tx_idle,
                 .routes = { r, s->extra_route ? 4 : 3 },
@@ -365,7 +365,11 @@
           .whole = true,
           .backends = { b, STAGE_DBS },
           .control = { ctl, 2 },
-          .entries = 1 };
+          .entries = s->entries,
+          .has_endpoints = s->fellow != NULL };
+  endpoint_t x[2] = { { str_of (s->endpoint[0]), STR ("z1") },
+                      { str_of (s->endpoint[1]), STR ("z1") } };
+  n.endpoints = (list_t){ x, s->fellow ? 2 : 0 };
   if (s->version == 0)
     n.setup = (str_t){ 0 };
   rpc_encode (stream_out (w->stream), MSG_NEWS, &n);
@@ -453,14 +457,14 @@
 
 static const stream_ops_t client_ops = { NULL, client_input, client_closed };
 
-stage_client_t *
-stage_client (stage_t *s)
+static stage_client_t *
+client_at (stage_t *s, int port)
 {
   stage_client_t *c = apr_pcalloc (s->pool, sizeof *c);
   char address[32];
   err_t e = { 0 };
 
-  snprintf (address, sizeof address, "127.0.0.1:%d", s->port);
+  snprintf (address, sizeof address, "127.0.0.1:%d", port);
   c->stage = s;
   c->stream
       = stream_dial (s->loop, str_of (address), 3000, &client_ops, c, &e);
@@ -468,6 +472,12 @@
   return c;
 }
 
+stage_client_t *
+stage_client (stage_t *s)
+{
+  return client_at (s, s->port);
+}
+
 void
 stage_send (stage_client_t *c, const char *text)
 {
@@ -501,9 +511,9 @@
 }
 
 stage_client_t *
-stage_start (stage_t *s, const char *host)
+stage_start_at (stage_t *s, bool fellow, const char *host)
 {
-  stage_client_t *c = stage_client (s);
+  stage_client_t *c = client_at (s, fellow ? s->fellow_port : s->port);
   char text[64];
 
   snprintf (text, sizeof text, "STARTUP %s u1\r\n", host);
@@ -511,6 +521,12 @@
   return c;
 }
 
+stage_client_t *
+stage_start (stage_t *s, const char *host)
+{
+  return stage_start_at (s, false, host);
+}
+
 /* ---- the whole ---- */
 
 static msec_t
@@ -519,6 +535,13 @@
   stage_t *s = arg;
   msec_t wake = proxy_turn (s->proxy, now);
 
+  if (s->fellow)
+    {
+      msec_t other = proxy_turn (s->fellow, now);
+      if (wake < 0 || (other >= 0 && other < wake))
+        wake = other;
+    }
+
   if (now >= s->until || (s->done && s->done (s->arg)))
     loop_stop (s->loop);
   return wake >= 0 && wake < s->until ? wake : s->until;
@@ -540,21 +563,63 @@
   return proxy_ready (((stage_t *)arg)->proxy);
 }
 
-stage_t *
-stage_new (bool wait)
+static int
+port_of (const char *address)
+{
+  return (int)strtol (strchr (address, ':') + 1, NULL, 10);
+}
+
+/* An address that nobody listens on.  */
+static void
+free_address (char *out, size_t size)
+{
+  close (listen_on (out, size));
+}
+
+static proxy_t *
+new_proxy (stage_t *s, const char *name, int *port, const char *endpoint)
+{
+  str_t *ctl = apr_palloc (s->pool, 2 * sizeof *ctl);
+  char own[32];
+  err_t e = { 0 };
+
+  for (int i = 0; i < 2; i++)
+    ctl[i] = str_of (s->control_address[i]);
+  free_address (own, sizeof own);
+  *port = port_of (own);
+  proxy_conf_t c = { .name = str_of (name),
+                     .zone = STR ("z1"),
+                     .listen = str_dup (s->pool, str_of (own)),
+                     .peers = str_of (endpoint),
+                     .peers_listen = str_of (endpoint),
+                     .control = ctl,
+                     .ncontrol = 2,
+                     .grace = 6000,
+                     .startup = 700,
+                     .client = &pf_client,
+                     .db = &pf_db };
+  proxy_t *p = proxy_new (s->pool, s->loop, &c, &e);
+  ck_assert (p);
+  return p;
+}
+
+static stage_t *
+surroundings (bool version)
 {
   apr_pool_t *pool;
   err_t e = { 0 };
 
   apr_initialize ();
   apr_pool_create (&pool, NULL);
-  log_open ("test", 0);
+  log_open ("test", getenv ("STAGE_LOG_LEVEL") ? 7 : 0);
   stage_t *s = apr_pcalloc (pool, sizeof *s);
   s->pool = pool;
   s->loop = loop_new (pool, &e);
-  s->version = wait ? 1 : 0;
+  s->version = version ? 1 : 0;
   s->tx_idle = 3000;
   s->timeout = 500;
+  s->connections = 40;
+  s->entries = 1;
   for (int i = 0; i < STAGE_DBS; i++)
     {
       stage_db_t *d = &s->db[i];
@@ -566,35 +631,49 @@
       d->fd = listen_on (d->address, sizeof d->address);
       loop_watch (s->loop, d->fd, db_accept, d, NULL);
     }
-  str_t *ctl = apr_palloc (pool, 2 * sizeof *ctl);
   for (int i = 0; i < 2; i++)
-    {
-      s->control[i]
-          = listen_on (s->control_address[i], sizeof s->control_address[i]);
-      ctl[i] = str_of (s->control_address[i]);
-    }
+    s->control[i]
+        = listen_on (s->control_address[i], sizeof s->control_address[i]);
   loop_watch (s->loop, s->control[0], accept_0, s, NULL);
   loop_watch (s->loop, s->control[1], accept_1, s, NULL);
-  char own[32];
-  int fd = listen_on (own, sizeof own);
-  close (fd);
-  s->port = (int)strtol (strchr (own, ':') + 1, NULL, 10);
-  proxy_conf_t c = { .name = STR ("p1"),
-                     .zone = STR ("z1"),
-                     .listen = str_dup (pool, str_of (own)),
-                     .control = ctl,
-                     .ncontrol = 2,
-                     .grace = 6000,
-                     .startup = 700,
-                     .client = &pf_client,
-                     .db = &pf_db };
-  s->proxy = proxy_new (pool, s->loop, &c, &e);
-  ck_assert (s->proxy);
+  return s;
+}
+
+stage_t *
+stage_new (bool wait)
+{
+  stage_t *s = surroundings (wait);
+
+  s->proxy = new_proxy (s, "p1", &s->port, NULL);
   if (wait)
     ck_assert (stage_run (s, 3000, is_ready, s));
   return s;
 }
 
+static bool
+is_pair (void *arg)
+{
+  const stage_t *s = arg;
+
+  return proxy_ready (s->proxy) && proxy_ready (s->fellow);
+}
+
+stage_t *
+stage_pair (void)
+{
+  stage_t *s = surroundings (true);
+
+  s->connections = 10;
+  s->entries = 40;
+  for (int i = 0; i < 2; i++)
+    free_address (s->endpoint[i], sizeof s->endpoint[i]);
+  s->proxy = new_proxy (s, "p1", &s->port, s->endpoint[0]);
+  s->fellow = new_proxy (s, "p2", &s->fellow_port, s->endpoint[1]);
+  ck_assert (stage_run (s, 3000, is_pair, s));
+  stage_run (s, 400, NULL, NULL);
+  return s;
+}
+
 void
 stage_free (stage_t *s)
 {
--- a/test/stage.h
+++ b/test/stage.h
@@ -53,6 +53,11 @@
   apr_pool_t *pool;
   loop_t *loop;
   proxy_t *proxy;
+  proxy_t *fellow; /* a second instance of the zone, or NULL */
+  int fellow_port;
+  char endpoint[2][32]; /* of both */
+  int connections;      /* to each database */
+  int entries;
   stage_db_t db[STAGE_DBS];
   int port;
   int control[2]; /* listening sockets of two control instances */
@@ -75,6 +80,11 @@
    primary), "near" (reads up to 1500 ms old), "own" (own writes, up to
    2500 ms).  */
 stage_t *stage_new (bool wait);
+/* stage_pair: two instances of one zone that share scarce connections; waits
+   until both know each other.  */
+stage_t *stage_pair (void);
+/* stage_start_at: like stage_start, at the second instance when FELLOW.  */
+stage_client_t *stage_start_at (stage_t *s, bool fellow, const char *host);
 void stage_free (stage_t *s);
 /* stage_run: MS of the real clock, or until DONE.  */
 bool stage_run (stage_t *s, msec_t ms, bool (*done) (void *arg), void *arg);
