Tell a lost answer from a lost database

Change: a database that answered after the statement was sent is not left alone, and only connections that were not heard since are closed. A read's answer counts as lost after eight times the usual time, at least 200 ms.

--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -147,6 +147,19 @@
   statement_pump (p, v);
 }
 
+void
+links_close_quiet (proxy_t *p, db_t *d, msec_t since)
+{
+  link_t *next;
+
+  for (link_t *k = d->links; k; k = next)
+    {
+      next = k->next;
+      if (k->state == LINK_IDLE && k->since < since)
+        link_close (p, k);
+    }
+}
+
 void
 links_close_idle (proxy_t *p, db_t *d)
 {
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -350,6 +350,8 @@
 void links_warm (proxy_t *p, msec_t now);
 void links_sweep (proxy_t *p, service_t *s, msec_t now);
 void links_close_idle (proxy_t *p, db_t *d);
+/* links_close_quiet: closes those that have not answered after SINCE.  */
+void links_close_quiet (proxy_t *p, db_t *d, msec_t since);
 /* links_bury: frees those that were closed in this turn.  */
 void links_bury (proxy_t *p);
 
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -6,8 +6,11 @@
 enum
 {
   ATTEMPTS_MAX = 8,
-  SHARE_OF_READ = 60 /* percent of a statement's time for one attempt of a
-                        read, so that another database can still answer */
+  LOST_ANSWER = 8,       /* times the usual time of a statement until the
+                            answer of a read counts as lost, and */
+  LOST_ANSWER_MIN = 200, /* ms, at least */
+  SHARE_OF_READ = 60     /* percent of a statement's time for one attempt of a
+                            read, so that another database can still answer */
 };
 
 /* ---- waiting ---- */
@@ -279,6 +282,20 @@
   r->lead = lead;
 }
 
+/* How long one attempt of a read may take with LEFT ms to its limit.  An
+   answer that takes many times longer than usual was lost, and keeps a
+   connection.  */
+static msec_t
+read_time (const db_t *d, msec_t left)
+{
+  msec_t share = left * SHARE_OF_READ / 100;
+  msec_t usual = (msec_t)(d->ms * LOST_ANSWER);
+
+  if (usual < LOST_ANSWER_MIN)
+    usual = LOST_ANSWER_MIN;
+  return d->ms > 0 && usual < share ? usual : share;
+}
+
 static void
 start_on (session_t *s, db_t *d)
 {
@@ -291,9 +308,8 @@
   if (r->attempts++ == 0)
     metrics_started (s);
   snprintf (r->asked, sizeof r->asked, "%s", d->id);
-  r->attempt = r->reads && s->tx == TX_NONE
-                   ? p->now + left * SHARE_OF_READ / 100
-                   : r->deadline;
+  r->attempt = r->reads && s->tx == TX_NONE ? p->now + read_time (d, left)
+                                            : r->deadline;
   wake_at (p, r->attempt);
   if (s->tx == TX_OPEN)
     link_begin (p, k, s);
@@ -614,10 +630,13 @@
   log_event (
       EV_DB_SILENT, "request=" STR_FMT " database=%s service=%s ms=%lld",
       STR_ARG (r->op.id), d->id, s->service->name, (long long)(now - k->sent));
+  msec_t sent = k->sent;
   link_close (p, k);
   s->link = NULL;
-  links_close_idle (p, d);
-  db_failed (p, d, now);
+  links_close_quiet (p, d, sent);
+  /* One that answered others meanwhile works; this answer was lost.  */
+  if (d->ok_at < sent)
+    db_failed (p, d, now);
   if (now < r->deadline)
     try_other (s, d, FAIL_BUSY);
   else if (s->tx == TX_NONE && r->reads)
--- a/test/stage.c
+++ b/test/stage.c
@@ -208,6 +208,11 @@
           return true;
         }
     }
+  if (is_kind (text, d->mute_at))
+    {
+      d->mute_at[0] = '\0';
+      return true;
+    }
   if (d->cut || is_kind (text, d->cut_at))
     {
       d->cut_at[0] = '\0';
--- a/test/stage.h
+++ b/test/stage.h
@@ -30,6 +30,7 @@
   bool full;        /* refuses connections */
   bool cut;         /* closes the connection instead of answering OP */
   char cut_at[16];  /* ... of this kind, e.g. COMMIT */
+  char mute_at[16]; /* runs this kind once without an answer */
   char fail_at[16]; /* fails this kind once with FAIL_CODE */
   char fail_code[16];
   int64_t term;
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -1,3 +1,4 @@
+#include "../lib/proxy/local.h"
 #include "stage.h"
 
 #include <stdio.h>
@@ -129,6 +130,35 @@
 }
 END_TEST
 
+/* Guards against a database that is left alone, with its connections closed,
+   because one answer was lost while it answers others; and against a read that
+   waits for a lost answer up to its limit.  */
+START_TEST (lost_answer_is_not_a_lost_database)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *a = stage_start (s, "lead");
+  stage_client_t *b = stage_start (s, "lead");
+
+  s->timeout = 1500;
+  s->version++;
+  stage_run (s, 700, NULL, NULL);
+  ASK (a, "QUERY a1 BEGIN\r\n", "READY T");
+  ASK (a, "QUERY a2 WRITE 7 x\r\n", "READY T");
+  ASK (b, "QUERY b1 READ 7\r\n", "READY I");
+  strcpy (s->db[0].mute_at, "READ");
+  b->got[0] = '\0';
+  stage_send (b, "QUERY b2 READ 7\r\n");
+  stage_run (s, 50, NULL, NULL);
+  ASK (a, "QUERY a3 WRITE 7 x\r\n", "READY T");
+  stage_run (s, 350, NULL, NULL);
+  ck_assert_ptr_nonnull (strstr (b->got, "COMPLETE sig-db0"));
+  const db_t *d = service_get (s->proxy, STR ("svc"))->leader;
+  ck_assert_int_eq (d->avoid, 0);
+  ASK (a, "QUERY a4 COMMIT\r\n", "COMPLETE sig-db0\r\nREADY I");
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a transaction whose parts run on two connections, and against
    its outcome being told wrong.  */
 START_TEST (transaction_keeps_its_connection)
@@ -488,6 +518,7 @@
   tcase_add_test (t, lost_answer_of_write_is_in_doubt);
   tcase_add_test (t, silent_write_is_in_doubt_at_its_timeout);
   tcase_add_test (t, silent_read_goes_elsewhere);
+  tcase_add_test (t, lost_answer_is_not_a_lost_database);
   tcase_add_test (t, transaction_keeps_its_connection);
   tcase_add_test (t, lost_commit_is_in_doubt);
   tcase_add_test (t, transaction_lost_while_idle_is_told);
