Tell endpoints as soon as the configuration is known

Cause: an instance told its endpoint 0.3 s after it was ready, and opened connections ahead of need until it knew the others: 24 databases each, right after a loss of power. Change: the endpoint is told with the first configuration, at once; nothing is opened ahead in the first 1.5 s while owners are not known.

--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -16,6 +16,7 @@
 
 enum
 {
+  ENDPOINTS = 1500,   /* ms after the start until the others are known */
   ANSWER_SLACK = 300, /* ms after the route's limit until an owner that does
                          not answer is given up */
   DIAL_TIME = 150,    /* ms to reach an owner; it is in the same zone */
@@ -35,7 +36,8 @@
 bool
 forward_offers (const proxy_t *p)
 {
-  if (p->conf.peers.n == 0 || p->stop_at >= 0 || p->cut_at >= 0)
+  if (p->conf.peers.n == 0 || p->setup == NULL || p->stop_at >= 0
+      || p->cut_at >= 0)
     return false;
   for (const service_t *v = p->services; v; v = v->next)
     if (owners_needed (v->connections, p->entries))
@@ -62,6 +64,13 @@
   free (address);
 }
 
+bool
+forward_expects (const proxy_t *p, const service_t *v)
+{
+  return p->conf.peers.n && p->nendpoint < 2 && p->now - p->started < ENDPOINTS
+         && owners_needed (v->connections, p->entries);
+}
+
 bool
 forward_owns (proxy_t *p, service_t *v)
 {
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -176,7 +176,7 @@
 static bool
 one_each (proxy_t *p, service_t *s)
 {
-  return p->entries > 0 && forward_owns (p, s)
+  return p->entries > 0 && forward_owns (p, s) && !forward_expects (p, s)
          && s->connections > forward_sharers (p, s);
 }
 
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -259,6 +259,7 @@
   msec_t led;  /* last news of an instance that has a leader */
   bool urgent; /* something happened that control has to know at once */
   bool lost;
+  bool offered; /* the endpoint was told last */
 } watcher_t;
 
 /* Kinds of statements, outcomes and causes of waiting in the metrics.  */
@@ -376,6 +377,8 @@
 bool forward_owned (const proxy_t *p, const service_t *v);
 /* forward_owns: it opens connections to databases of V itself.  */
 bool forward_owns (proxy_t *p, service_t *v);
+/* forward_expects: the owners of connections to V are not known yet.  */
+bool forward_expects (const proxy_t *p, const service_t *v);
 /* forward_sharers: instances that open connections to databases of V.  */
 int forward_sharers (proxy_t *p, service_t *v);
 bool forward_wanted (session_t *s, const op_t *op);
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -58,8 +58,9 @@
                 .boot = w->boot,
                 .zone = p->conf.zone };
 
-  if (proxy_ready (p) && forward_offers (p))
+  if (forward_offers (p))
     m.address = p->conf.peers;
+  w->offered = m.address.n > 0;
 
   for (service_t *s = p->services; s && n < 64; s = s->next)
     for (db_t *d = s->dbs; d && n < 64; d = d->next)
@@ -161,6 +162,9 @@
     w->roster = n->roster;
   w->boot = n->boot;
   fleet_news (p, n);
+  /* The others wait for its endpoint.  */
+  if (w->offered != forward_offers (p))
+    w->urgent = true;
   learn_control (p, n);
   /* An instance that no quorum follows misses changes.  */
   if (!n->led && w->stream && w->n > 1)
