--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -14,14 +14,14 @@
   return k->db->service->proxy;
 }
 
-static void
-push (link_t *k, step_t step)
+void
+link_push (link_t *k, step_t step)
 {
   k->step[(k->first + k->nstep++) % STEPS_MAX] = (uint8_t)step;
 }
 
-static buf_t *
-out (link_t *k)
+buf_t *
+link_out (link_t *k)
 {
   stream_flush (k->stream);
   return stream_out (k->stream);
@@ -53,7 +53,7 @@
   d->links = k;
   d->opening++;
   counter_add (p->opened, 1);
-  push (k, STEP_START);
+  link_push (k, STEP_START);
   p->conf.db->startup (stream_out (k->stream), str_of (d->service->name),
                        p->conf.name, str_of (d->id));
   wake_at (p, p->now + CONNECT_TIME);
@@ -147,94 +147,6 @@
   statement_pump (p, v);
 }
 
-void
-links_close_quiet (proxy_t *p, db_t *d, msec_t since)
-{
-  link_t *next;
-
-  for (link_t *k = d->links; k; k = next)
-    {
-      next = k->next;
-      if (k->state == LINK_IDLE && k->since < since)
-        link_close (p, k);
-    }
-}
-
-void
-links_close_idle (proxy_t *p, db_t *d)
-{
-  link_t *next;
-
-  for (link_t *k = d->links; k; k = next)
-    {
-      next = k->next;
-      if (k->state == LINK_IDLE)
-        link_close (p, k);
-    }
-}
-
-static bool
-one_each (proxy_t *p, service_t *s)
-{
-  return p->entries > 0 && forward_owns (p, s) && !forward_expects (p, s)
-         && s->connections > forward_sharers (p, s);
-}
-
-static db_t *
-cold (proxy_t *p, msec_t now)
-{
-  for (service_t *s = p->services; s; s = s->next)
-    for (db_t *d = s->dbs; d && one_each (p, s); d = d->next)
-      if (d->open + d->opening == 0 && !d->leaving && !d->gone
-          && d->avoid <= now && now - d->full_at >= FULL_HOLD)
-        return d;
-  return NULL;
-}
-
-void
-links_warm (proxy_t *p, msec_t now)
-{
-  if (p->stop_at >= 0 || p->cut_at >= 0 || now - p->warmed < WARM_EVERY)
-    return;
-  db_t *d = cold (p, now);
-  if (d == NULL)
-    return;
-  p->warmed = now;
-  link_open (p, d);
-  wake_at (p, now + WARM_EVERY);
-}
-
-void
-links_sweep (proxy_t *p, service_t *s, msec_t now)
-{
-  link_t *next;
-
-  for (db_t *d = s->dbs; d; d = d->next)
-    for (link_t *k = d->links; k; k = next)
-      {
-        bool tight = d->full_at && now - d->full_at < 3000;
-        msec_t keep = tight             ? IDLE_KEEP_SHORT
-                      : d->open > 1     ? IDLE_KEEP_MORE
-                      : one_each (p, s) ? IDLE_KEEP_LAST
-                                        : IDLE_KEEP;
-        next = k->next;
-        if (k->state == LINK_OPENING && now - k->since >= CONNECT_TIME)
-          {
-            log_event (EV_DB_LOST,
-                       "database=%s service=%s state=opening cause=timeout",
-                       d->id, s->name);
-            link_close (p, k);
-            db_failed (p, d, now);
-          }
-        else if (k->state == LINK_IDLE
-                 && (d->leaving || d->gone || now - k->since >= keep))
-          link_close (p, k);
-        else if (k->state == LINK_BUSY && k->owner == NULL
-                 && now - k->since > SILENCE)
-          link_close (p, k);
-      }
-}
-
 /* ---- taking and giving back ---- */
 
 link_t *
@@ -274,8 +186,8 @@
     return; /* goes on when its answers are in */
   if (k->in_tx)
     {
-      push (k, STEP_ROLLBACK);
-      p->conf.db->op (out (k), &op, (str_t){ 0 }, (pos_t){ 0 });
+      link_push (k, STEP_ROLLBACK);
+      p->conf.db->op (link_out (k), &op, (str_t){ 0 }, (pos_t){ 0 });
       return;
     }
   if (k->db->leaving || k->db->gone)
@@ -288,101 +200,6 @@
   statement_pump (p, k->db->service);
 }
 
-/* ---- sending ---- */
-
-static void
-send_values (proxy_t *p, link_t *k, session_t *s)
-{
-  op_t op = { .kind = OP_SET };
-  bool reset = false;
-
-  for (int i = 0; i < k->values.n && !k->in_tx; i++)
-    reset |= values_get (&s->values, k->values.at[i].name) == NULL;
-  if (reset)
-    {
-      push (k, STEP_RESET);
-      p->conf.db->reset (out (k));
-      values_free (&k->values);
-      values_free (&k->prepared);
-    }
-  for (int i = 0; i < s->values.n; i++)
-    {
-      const value_t *x = &s->values.at[i];
-      const char *have = values_get (&k->values, x->name);
-      if (have && strcmp (have, x->value) == 0)
-        continue;
-      op.name = str_of (x->name);
-      op.arg = str_of (x->value);
-      push (k, STEP_SET);
-      p->conf.db->op (out (k), &op, (str_t){ 0 }, (pos_t){ 0 });
-      values_set (&k->values, op.name, op.arg);
-    }
-}
-
-static void
-send_prepare (proxy_t *p, link_t *k, session_t *s)
-{
-  const char *name = s->req.prepared;
-  op_t op = { .kind = OP_PREPARE,
-              .name = str_of (name),
-              .arg = str_of (name + 1),
-              .writes = name[0] == 'w' };
-
-  if (s->req.op.kind != OP_EXECUTE || values_get (&k->prepared, name))
-    return;
-  push (k, STEP_PREPARE);
-  p->conf.db->op (out (k), &op, (str_t){ 0 }, (pos_t){ 0 });
-  values_set (&k->prepared, op.name, (str_t){ 0 });
-}
-
-static void
-send_mark (proxy_t *p, link_t *k)
-{
-  op_t begin = { .kind = OP_BEGIN };
-  op_t end = { .kind = OP_ROLLBACK };
-
-  push (k, STEP_MARK);
-  p->conf.db->op (out (k), &begin, (str_t){ 0 }, (pos_t){ 0 });
-  push (k, STEP_UNMARK);
-  p->conf.db->op (out (k), &end, (str_t){ 0 }, (pos_t){ 0 });
-  k->marked = p->now;
-  k->mark_ok = false;
-}
-
-/* A replica may serve a transaction that only reads, after the position that
-   proves it fresh enough.  */
-void
-link_begin (proxy_t *p, link_t *k, session_t *s)
-{
-  bool read = s->tx_read && !s->req.lead;
-  op_t op = { .kind = read ? OP_BEGIN_READ : OP_BEGIN };
-
-  send_values (p, k, s);
-  push (k, STEP_BEGIN);
-  p->conf.db->op (out (k), &op, (str_t){ 0 },
-                  read ? s->req.need : (pos_t){ 0 });
-  k->marked = k->sent = p->now;
-}
-
-void
-link_run (proxy_t *p, link_t *k, session_t *s)
-{
-  request_t *r = &s->req;
-  bool alone = s->tx == TX_NONE;
-
-  send_values (p, k, s);
-  send_prepare (p, k, s);
-  k->mark_ok = true;
-  if (alone && r->reads && r->lead)
-    send_mark (p, k);
-  push (k, STEP_OP);
-  p->conf.db->op (out (k), &r->op, str_of (r->prepared),
-                  alone && r->reads && !r->lead ? r->need : (pos_t){ 0 });
-  k->sent = p->now;
-  k->prep_ok = true;
-  r->sent = true;
-}
-
 /* ---- answers ---- */
 
 static void
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -339,12 +339,21 @@
 link_t *link_take (db_t *d, session_t *s, msec_t now);
 /* link_release: gives it back; rolls an open transaction back first.  */
 void link_release (proxy_t *p, link_t *k);
+/* links_bury: frees those that were closed in this turn.  */
+void links_bury (proxy_t *p);
 /* link_close: at once; its owner is not told.  */
 void link_close (proxy_t *p, link_t *k);
+/* link_push: STEP's answer is expected next.  */
+void link_push (link_t *k, step_t step);
+buf_t *link_out (link_t *k);
+
+/* send.c */
 /* link_begin: sends what the session's transaction needs on K.  */
 void link_begin (proxy_t *p, link_t *k, session_t *s);
 /* link_run: sends the session's statement on K.  */
 void link_run (proxy_t *p, link_t *k, session_t *s);
+
+/* keep.c */
 /* links_warm: opens a connection to a database that has none, where each
    instance may have one: opening takes a slot, and many at once when traffic
    starts would keep the statements out.  */
@@ -353,8 +362,12 @@
 void links_close_idle (proxy_t *p, db_t *d);
 /* links_close_quiet: closes those that have not answered after SINCE.  */
 void links_close_quiet (proxy_t *p, db_t *d, msec_t since);
-/* links_bury: frees those that were closed in this turn.  */
-void links_bury (proxy_t *p);
+
+/* sites.c */
+bool site_tried (const request_t *r, const db_t *d);
+/* sites_list: the databases that S may use to OUT and DB, which have room for
+   SITES_MAX; returns their number.  */
+int sites_list (proxy_t *p, session_t *s, site_t *out, db_t **db);
 
 /* statement.c */
 void statement_start (session_t *s, const op_t *op);
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -169,15 +169,6 @@
 
 /* ---- placing ---- */
 
-static bool
-tried (const request_t *r, const db_t *d)
-{
-  for (int i = 0; i < r->ntried; i++)
-    if (r->tried[i] == d)
-      return true;
-  return false;
-}
-
 static void
 try_other (session_t *s, db_t *d, fail_t f)
 {
@@ -190,80 +181,12 @@
              STR_ARG (r->op.id), d ? d->id : r->asked, fail_name (f),
              (long long)(s->proxy->now - r->arrived), r->attempts,
              (long long)r->need.term, (long long)r->need.number);
-  if (d && r->ntried < SITES_MAX && !tried (r, d))
+  if (d && r->ntried < SITES_MAX && !site_tried (r, d))
     r->tried[r->ntried++] = d;
   counter_add (s->proxy->retried, 1);
   statement_place (s);
 }
 
-/* Connections held by a transaction, or by a statement whose session has gone
-   and whose answer may never come.  */
-static int
-pinned (const db_t *d)
-{
-  int n = 0;
-
-  for (const link_t *k = d->links; k; k = k->next)
-    n += k->in_tx || (k->state == LINK_BUSY && k->owner == NULL);
-  return n;
-}
-
-/* Connections for statements that run at once: one where every instance has
-   its own; an owner's share of the database's slots, and one more, where few
-   instances run the statements of all.  */
-static int
-wanted (proxy_t *p, service_t *v, const db_t *d)
-{
-  return forward_owned (p, v) ? 1 + 2 * d->slots / forward_sharers (p, v) : 1;
-}
-
-/* Connections that this instance may open to a database: one, and one more for
-   each that a transaction holds while its client pauses, up to its share of
-   half of them.  After a power loss the other half takes the new connections
-   while the database still counts the lost ones.  */
-static int
-link_limit (proxy_t *p, service_t *v, const db_t *d)
-{
-  bool own = forward_owned (p, v);
-  int share = (own ? v->connections * 3 / 4 : v->connections / 2)
-              / forward_sharers (p, v);
-  int need = wanted (p, v, d) + pinned (d);
-
-  if (d->full_at && p->now - d->full_at < FULL_HOLD)
-    return d->open + d->opening;
-  if (share < 2)
-    share = 2;
-  return need < share ? need : share;
-}
-
-static int
-sites (proxy_t *p, session_t *s, site_t *out, db_t **db)
-{
-  service_t *v = s->service;
-  db_t *lead = lead_pick (v, p->now);
-  int n = 0;
-
-  for (db_t *d = v->dbs; d && n < SITES_MAX; d = d->next)
-    {
-      bool leads = d == lead;
-      db[n] = d;
-      out[n++] = (site_t){
-        .leader = leads,
-        .near = str_eq (str_of (d->zone), p->conf.zone),
-        .usable = !d->gone && d->avoid <= p->now
-                  && (!d->leaving || (leads && s->req.lead))
-                  && (!tried (&s->req, d) || (leads && s->req.lead)),
-        .idle = d->idle,
-        .opening = d->opening,
-        .open = d->open,
-        .limit = link_limit (p, v, d),
-        .busy = d->open - d->idle,
-        .ms = d->ms,
-      };
-    }
-  return n;
-}
-
 /* What the statement needs of a database: the leader, or a position.  */
 static void
 want (session_t *s)
@@ -326,7 +249,7 @@
   db_t *db[SITES_MAX];
 
   want (s);
-  int n = sites (p, s, site, db);
+  int n = sites_list (p, s, site, db);
   place_t at = s->req.lead ? place_lead (site, n) : place_read (site, n);
   if (at.kind == PLACE_USE)
     {
--- a/test/soak/db.c
+++ b/test/soak/db.c
@@ -113,7 +113,7 @@
 
   if (d->primary && d->term == s->term)
     return s->head;
-  if (!d->up || d->held || d->primary)
+  if (!d->up || d->held || d->primary || d->behind > s->world->now)
     return d->number;
   while (n > s->start[s->term] && s->time[n] + LAG > s->world->now)
     n--;
--- a/test/soak/fault.c
+++ b/test/soak/fault.c
@@ -250,10 +250,13 @@
 {
   db_t *d = any_db (w);
   msec_t until = w->now + 500 + chance (w, 2500);
-  int how = chance (w, 3);
+  int how = chance (w, 4);
+  msec_t *harm[] = { &d->grey, &d->slow, &d->lossy, &d->behind };
 
   note (w, "%s is harmed, way %d", d->id, how);
-  *(how == 0 ? &d->grey : how == 1 ? &d->slow : &d->lossy) = until;
+  if (how == 3)
+    until += 4000; /* longer than the ages that reads may have */
+  *harm[how] = until;
   return until - w->now;
 }
 
@@ -270,11 +273,11 @@
 static const fault_fn_t planned[]
     = { entry_stop, reload, output_unread, database_leaves };
 static const fault_fn_t harmful[]
-    = { entry_kill,   control_kill,   control_stop,   control_kill_all,
-        freeze,       freeze,         disk_full,      link_delay,
-        link_reset,   link_cut,       link_cut,       link_silent,
-        link_silent,  database_crash, database_crash, database_harmed,
-        promoter_down };
+    = { entry_kill,      control_kill,   control_stop,   control_kill_all,
+        freeze,          freeze,         disk_full,      link_delay,
+        link_reset,      link_cut,       link_cut,       link_silent,
+        link_silent,     database_crash, database_crash, database_harmed,
+        database_harmed, promoter_down };
 
 void
 fault_turn (world_t *w, msec_t now)
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -182,8 +182,8 @@
   int teller;        /* control instance that it calls */
   msec_t told_leave; /* when leaving was acknowledged */
   msec_t leave_since;
-  msec_t back;              /* when a crashed one starts again */
-  msec_t grey, slow, lossy; /* until */
+  msec_t back;                      /* when a crashed one starts again */
+  msec_t grey, slow, lossy, behind; /* until */
   void *conns;
 } db_t;
 
