--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -24,6 +24,7 @@
   VALUES = 2,
   PREPARED = 8,
   TERMS = 64,
+  ANSWERS = 4,
   NAME = 32,
   CALM = 5000 /* ms after a fault until bounds in time hold again */
 };
@@ -157,8 +158,12 @@
   bool reads;
   char values[VALUES][NAME];
   char shape[NAME]; /* of the prepared statement that it executes */
-  char signature[48];
-  char row[48];
+  struct
+  {
+    char signature[48];
+    char row[48];
+  } answer[ANSWERS]; /* of its runs, the last ones */
+  int signed_runs;
   int runs;
 } ask_t;
 
