--- a/test/soak.sh
+++ b/test/soak.sh
@@ -5,7 +5,7 @@
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 # Three at a time: each takes about half a core.
-if sed 's/#.*//' test/soak/seeds | grep . | xargs -P 3 -L 1 sh -c \
+if sed 's/ *#.*//' test/soak/seeds | grep . | xargs -P 3 -L 1 sh -c \
   "$1/test/soak/soak --seed \$1 --entries \$2 --seconds 36 --place \$((\$1 % 50 + 201)) $1" sh >"$out" 2>&1; then
   cat "$out"
   echo "$(wc -l <"$out") passed, 0 failed"
