Stop the build when pkg-config fails, keep the tests' library out of it

What callers saw: the build of deploy/system.toml ends on a clean machine with "fatal error: apr_pools.h: No such file or directory".

Cause: the Makefile asked pkg-config for the flags of one list for every object, and the list named check, the unit test library. Its package is not under "packages". For a list with one unknown name pkg-config prints no flags at all and exits 1; the message went to /dev/null and the exit code was ignored, so every include path was lost, that of APR among them. libapr1-dev was installed.

No earlier run saw it because tools/deps installed the tests' tools before the build, from a package list of its own.

Ruled out: a missing package for APR (libapr1-dev is listed and installed); a race of make -j (the flags are the same for each object).

Test: test/packages.sh (make check-packages) traces the system calls of the build in a fresh copy and holds each file it opens, and each program, header, library or .pc file it looks for in vain, against the packages that are there on a clean machine: those listed, the essential ones and their dependencies, without recommended ones. It also fails for each listed package taken out that the build needs.

--- a/Makefile
+++ b/Makefile
@@ -8,15 +8,29 @@
 CLANG = clang
 B ?= build
 PREFIX ?= /usr/local
-PKGS = apr-1 libpq libxxhash yaml-0.1 check libmicrohttpd
-PLATFORM_PKGS = apr-1 libxxhash yaml-0.1 libmicrohttpd jansson
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wno-missing-field-initializers
-CFLAGS_ALL = -std=gnu11 $(WARN) $(OPT) -D_GNU_SOURCE -Iinclude -I. -pthread \
-	$(shell pkg-config --cflags $(PKGS) 2>/dev/null) $(EXTRA_CFLAGS)
-LIBS = $(shell pkg-config --libs apr-1 libpq libxxhash yaml-0.1 libmicrohttpd 2>/dev/null) \
-	-lmsgpackc -lhttp_parser -ljansson -lpg_query -pthread -lm $(EXTRA_LDFLAGS)
-CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
+
+# What pkg-config prints.  Its failure ends make: for a list with one unknown
+# name it prints no flags at all, so that headers which are there are not found.
+pkg_config = $(shell pkg-config $(1))$(if $(filter-out 0,$(.SHELLSTATUS)),$(error pkg-config $(1) failed))
+# once VARIABLE,TEXT: expands the text at the first use of the variable only.
+once = $(eval $(1) := $(2))$($(1))
+
+# The users' platform builds with the packages of deploy/system.toml alone, the
+# tests with their own besides.
+PLATFORM_PKGS = apr-1 libxxhash yaml-0.1 libmicrohttpd jansson
+PKGS = $(PLATFORM_PKGS) libpq
+TEST_PKGS = $(PKGS) check
+PLATFORM_CFLAGS = $(call once,PLATFORM_CFLAGS,$(call pkg_config,--cflags $(PLATFORM_PKGS)))
+PKG_CFLAGS = $(call once,PKG_CFLAGS,$(call pkg_config,--cflags $(PKGS)))
+TEST_CFLAGS = $(call once,TEST_CFLAGS,$(call pkg_config,--cflags $(TEST_PKGS)))
+PLATFORM_PKG_LIBS = $(call once,PLATFORM_PKG_LIBS,$(call pkg_config,--libs $(PLATFORM_PKGS)))
+PKG_LIBS = $(call once,PKG_LIBS,$(call pkg_config,--libs $(PKGS)))
+CHECK_LIBS = $(call once,CHECK_LIBS,$(call pkg_config,--libs check))
+
+CFLAGS_ALL = -std=gnu11 $(WARN) $(OPT) -D_GNU_SOURCE -Iinclude -I. -pthread $(EXTRA_CFLAGS)
+LIBS = $(PKG_LIBS) -lmsgpackc -lhttp_parser -lpg_query -pthread -lm $(EXTRA_LDFLAGS)
 
 LIBSRC = $(wildcard lib/*/*.c)
 LIBOBJ = $(LIBSRC:%.c=$(B)/%.o)
@@ -37,17 +51,25 @@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS_ALL) -MMD -MP -c $< -o $@
+	$(CC) $(CFLAGS_ALL) $(PKG_CFLAGS) -MMD -MP -c $< -o $@
+
+$(B)/test/%.o: test/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) $(TEST_CFLAGS) -MMD -MP -c $< -o $@
 
 $(LIBA): $(LIBOBJ)
 	@rm -f $@
 	ar rcs $@ $^
 
-# The programs of the users' platform need none of PostgreSQL's libraries.
+# The programs of the users' platform link none of PostgreSQL's libraries.
 PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/promote.c platform/api.c,$(wildcard platform/*.c)))
-PLATFORM_LIBS = -Wl,--as-needed $(shell pkg-config --libs $(PLATFORM_PKGS) 2>/dev/null) -lmsgpackc -lhttp_parser -pthread -lm
+PLATFORM_LIBS = -Wl,--as-needed $(PLATFORM_PKG_LIBS) -lmsgpackc -lhttp_parser -pthread -lm $(EXTRA_LDFLAGS)
 platform: $(B)/bin/pimentopost-entry $(B)/bin/pimentopost-control
 
+$(B)/platform/%.o: platform/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) $(PLATFORM_CFLAGS) -MMD -MP -c $< -o $@
+
 $(B)/bin/pimentopost-entry: $(B)/platform/entry/main.o $(PLATFORM_OBJ) $(LIBA)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
@@ -59,7 +81,7 @@
 define prog
 $(B)/bin/$(1): $(patsubst %.c,$(B)/%.o,$(wildcard cmd/$(1)/*.c)) $(LIBA)
 	@mkdir -p $$(@D)
-	$(CC) $(CFLAGS_ALL) -o $$@ $$^ $(LIBS)
+	$$(CC) $$(CFLAGS_ALL) -o $$@ $$^ $$(LIBS)
 endef
 $(foreach p,$(PROGS),$(eval $(call prog,$(p))))
 
@@ -89,7 +111,7 @@
 
 $(FB)/%.o: %.c
 	@mkdir -p $(@D)
-	@$(CLANG) -std=gnu11 -D_GNU_SOURCE -Iinclude -I. $(shell pkg-config --cflags $(PKGS) 2>/dev/null) \
+	@$(CLANG) -std=gnu11 -D_GNU_SOURCE -Iinclude -I. $(TEST_CFLAGS) \
 	  $(FUZZFLAGS) -fsanitize=fuzzer-no-link -MMD -MP -c $< -o $@
 
 $(FB)/fuzz_%: $(FB)/test/fuzz_%.o $(PLATFORM_OBJ:$(B)/%=$(FB)/%) $(LIBSRC:%.c=$(FB)/%.o)
@@ -118,7 +140,11 @@
 	clang-format -i $(CSRC)
 
 lint:
-	@tools/lint $(CSRC)
+	@PKGS="$(TEST_PKGS)" tools/lint $(CSRC)
+
+# What the build of deploy/system.toml uses, held against the list there.
+check-packages:
+	@sh test/packages.sh
 
 clean:
 	rm -rf $(B)
@@ -135,9 +161,9 @@
 	for m in man/*.[1-8]; do \
 	  d=$(DESTDIR)$(PREFIX)/share/man/man$${m##*.}; install -d $$d; install -m 644 $$m $$d; done
 
--include $(LIBOBJ:.o=.d) $(wildcard $(B)/platform/*.d $(B)/platform/*/*.d) $(wildcard $(B)/cmd/*/*.d $(B)/test/*.d $(B)/bench/*.d)
+-include $(wildcard $(LIBOBJ:.o=.d)) $(wildcard $(B)/platform/*.d $(B)/platform/*/*.d) $(wildcard $(B)/cmd/*/*.d $(B)/test/*.d $(B)/bench/*.d)
 -include */rules.mk
 
 
-.PHONY: platform coverage all deps tests check fmt format lint clean install demo bench fuzz
+.PHONY: platform check-packages coverage all deps tests check fmt format lint clean install demo bench fuzz
 .SECONDARY:
--- /dev/null
+++ b/test/packages.sh
@@ -0,0 +1,80 @@
+#!/bin/sh
+# A build that works only where more is installed than deploy/system.toml
+# lists fails on the users' machines, which start clean: traces the build and
+# holds every file it uses against the list.  TREE=DIR looks at another
+# checkout, OUT=DIR keeps the lists.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+TREE=${TREE:-.}
+W=$(mktemp -d) || exit 1
+trap 'rm -rf "$W"' EXIT
+OUT=${OUT:-$W/out}
+result=0
+fail () { echo "FAIL: $*"; result=1; }
+
+listed=$(tools/packages "$TREE/deploy/system.toml")
+if ! test/packages/trace "$TREE" "$OUT"; then
+  tail -5 "$OUT/log"
+  fail "the build"
+fi
+# shellcheck disable=SC2086
+test/packages/compare "$OUT" $listed || fail "the build and the list of packages differ"
+[ "$result" = 0 ] || exit 1
+echo "$(wc -l <"$OUT/used") files of $(awk '{ print $1 }' "$OUT/owners" | sort -u | wc -l) packages, all listed"
+
+# Every package on the list counts: without it the check fails, unless another
+# one depends on it; then the build uses its files.
+for package in $listed; do
+  rest=$(printf '%s\n' "$listed" | grep -vx "$package")
+  # shellcheck disable=SC2086
+  test/packages/compare "$OUT" $rest >/dev/null || continue
+  test/packages/closure $rest | grep -qx "$package" || { fail "$package is listed and not needed"; continue; }
+  grep -q "^$package " "$OUT/owners" || fail "$package is listed and not used"
+done
+
+# tree NAME RECIPE...: a checkout whose build is the recipe.
+tree () {
+  mkdir -p "$W/$1/deploy"
+  printf 'build = "make"\npackages = ["gcc", "make", "pkg-config", "libc6-dev"]\n' >"$W/$1/deploy/system.toml"
+  printf '#include <stddef.h>\nint main (void) { return 0; }\n' >"$W/$1/main.c"
+  n=$1; shift
+  printf 'all:\n' >"$W/$n/Makefile"
+  printf '\t%s\n' "$@" >>"$W/$n/Makefile"
+}
+
+# expect NAME VERDICT TEXT: the verdict on that checkout, and what it names.
+expect () {
+  got=pass
+  test/packages/trace "$W/$1" "$W/$1.out" || got=fail
+  # shellcheck disable=SC2046
+  test/packages/compare "$W/$1.out" $(tools/packages "$W/$1/deploy/system.toml") >"$W/$1.said" || got=fail
+  [ "$got" = "$2" ] || fail "$1: $got, expected $2"
+  [ -z "$3" ] || grep -q "$3" "$W/$1.said" || { fail "$1: does not name $3"; cat "$W/$1.said"; }
+}
+
+tree plain 'gcc -o main main.c'
+expect plain pass ''
+
+# The fault of the incident: the tests' library is asked for in the build.
+# Where it is not installed, the file is looked for and not found.
+tree pkgconfig 'pkg-config --cflags check; true'
+expect pkgconfig fail 'check'
+
+tree header 'gcc -include check.h -c -o main.o main.c'
+expect header fail 'check'
+
+# Found by a machine that has it, passed over by the others.
+tree optional 'printf "\#if __has_include(<no_such_header.h>)\n\#endif\n" | gcc -E - >out'
+expect optional fail 'no_such_header.h'
+
+tree tool '-command -v no_such_compiler'
+expect tool fail 'no_such_compiler'
+
+tree library 'gcc -o main main.c -lpq'
+expect library fail 'libpq'
+
+# The machine decides which awk this is.
+tree alternative 'awk "BEGIN { exit 0 }" /dev/null'
+expect alternative fail '/usr/bin/awk'
+
+exit $result
--- a/test/rules.mk
+++ b/test/rules.mk
@@ -5,7 +5,7 @@
 
 $(B)/fault/raft_%: $(RAFT_FAULTSRC) test/fuzz_raft.c $(wildcard lib/raft/*.h test/*.h include/*.h) $(LIBA)
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS_ALL) -DFAULT_$* -o $@ $(RAFT_FAULTSRC) $(LIBA) $(LIBS)
+	$(CC) $(CFLAGS_ALL) $(PKG_CFLAGS) -DFAULT_$* -o $@ $(RAFT_FAULTSRC) $(LIBA) $(LIBS)
 
 tests: $(RAFT_FAULTBINS)
 
