Build the platform's programs without PostgreSQL's libraries

What callers saw: nothing yet; the build needed three packages that neither platform program links (libpq-dev, libpg-query-dev, libprotobuf-c-dev), so that a change in any of them could break it again.

Cause: "platform" compiled the whole library, the PostgreSQL data plane with it (lib/dblink, lib/entry, lib/sql).

Weighed: listing the three packages costs nothing here, but keeps three more ways to fail on a clean machine; dropping them costs a list of nine folders in the Makefile, which the link step checks.

--- a/Makefile
+++ b/Makefile
@@ -61,20 +61,27 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-# The programs of the users' platform link none of PostgreSQL's libraries.
+# The programs of the users' platform hold no PostgreSQL data plane: they are
+# built from these libraries alone, without libpq and libpg_query.
+PLATFORM_LIBSRC = $(wildcard $(addsuffix /*.c,$(addprefix lib/,base cell conf fleet httpd loop proxy raft rpc)))
+PLATFORM_LIBOBJ = $(PLATFORM_LIBSRC:%.c=$(B)/%.o)
 PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/promote.c platform/api.c,$(wildcard platform/*.c)))
 PLATFORM_LIBS = -Wl,--as-needed $(PLATFORM_PKG_LIBS) -lmsgpackc -lhttp_parser -pthread -lm $(EXTRA_LDFLAGS)
 platform: $(B)/bin/pimentopost-entry $(B)/bin/pimentopost-control
 
+$(PLATFORM_LIBOBJ): $(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS_ALL) $(PLATFORM_CFLAGS) -MMD -MP -c $< -o $@
+
 $(B)/platform/%.o: platform/%.c
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) $(PLATFORM_CFLAGS) -MMD -MP -c $< -o $@
 
-$(B)/bin/pimentopost-entry: $(B)/platform/entry/main.o $(PLATFORM_OBJ) $(LIBA)
+$(B)/bin/pimentopost-entry: $(B)/platform/entry/main.o $(PLATFORM_OBJ) $(PLATFORM_LIBOBJ)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
 
-$(B)/bin/pimentopost-control: $(B)/platform/control/main.o $(B)/platform/promote.o $(B)/platform/api.o $(PLATFORM_OBJ) $(LIBA)
+$(B)/bin/pimentopost-control: $(B)/platform/control/main.o $(B)/platform/promote.o $(B)/platform/api.o $(PLATFORM_OBJ) $(PLATFORM_LIBOBJ)
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
 
