Log role and membership of the replicated log in one place

The two hosts of the replicated log, lib/cell and the decisions duty of pimentopostd, each logged changes of role and of membership with functions of their own, word for word the same. raft_observe does it for both; what it saw last is a struct of its own, whose count of memberships the cell passes on.

Nothing changes for callers: the events keep their numbers and fields.

--- a/cmd/pimentopostd/decide.c
+++ b/cmd/pimentopostd/decide.c
@@ -150,32 +150,9 @@
   d->role = role;
   d->term = term;
   snprintf (d->leader, sizeof d->leader, STR_FMT, STR_ARG (leader));
-  log_event (EV_RAFT_ROLE, "role=%s term=%lld leader=%s",
-             leads ? "leader" : "follower", (long long)term,
-             d->leader[0] ? d->leader : "-");
   control_role (d->control, leads, term, leader, d->now);
 }
 
-static void
-log_members (decide_t *d)
-{
-  const members_t *m = raft_member_list (d->raft);
-  buf_t b;
-
-  if (m == d->members)
-    return;
-  d->members = m;
-  buf_init (&b);
-  for (size_t i = 0; i < m->list.n; i++)
-    {
-      const member_t *x = LIST_AT (m->list, member_t, i);
-      buf_fmt (&b, "%s" STR_FMT "%s", i ? "," : "", STR_ARG (x->name),
-               x->voter ? "" : "(learner)");
-    }
-  log_event (EV_RAFT_MEMBERS, "members=" STR_FMT, STR_ARG (buf_str (&b)));
-  buf_free (&b);
-}
-
 /* Tells control of the consensus, then carries out what it decided.  */
 static bool
 settle (decide_t *d, err_t *e)
@@ -194,7 +171,7 @@
         return false;
     }
   while (true);
-  log_members (d);
+  raft_observe (d->raft, &d->seen);
   publish (d);
   return true;
 }
--- a/cmd/pimentopostd/decide.h
+++ b/cmd/pimentopostd/decide.h
@@ -35,7 +35,7 @@
   raft_role_t role;
   int64_t term;
   char leader[ADDRESS_MAX];
-  const members_t *members;
+  raft_seen_t seen;
 
   str_t pending[PENDING];
   int npending;
--- a/include/raft.h
+++ b/include/raft.h
@@ -161,6 +161,19 @@
 const members_t *raft_member_list (const raft_t *r);
 const member_t *raft_member (const raft_t *r, int64_t id);
 
+/* What raft_observe saw last; all zero at first.  */
+typedef struct
+{
+  raft_role_t role;
+  int64_t term;
+  int64_t leader;
+  const members_t *members;
+  int64_t members_number; /* of changes seen, from 1 */
+} raft_seen_t;
+
+/* raft_observe: logs what changed of role, leader and membership.  */
+void raft_observe (const raft_t *r, raft_seen_t *seen);
+
 /* ---- store ---- */
 
 /* Files of one folder.  Names have no slash.  */
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -37,7 +37,6 @@
   c->loop = l;
   c->conf = *conf;
   c->now = c->started = loop_now (l);
-  c->role = RAFT_FOLLOWER;
   c->recorded = -1;
   c->boot = (int64_t)(rng_system_seed () >> 1);
   rng_init (&c->rng, rng_system_seed ());
@@ -91,47 +90,6 @@
   return CELL_OK;
 }
 
-/* ---- changes of the consensus ---- */
-
-static void
-log_members (cell_t *c)
-{
-  const members_t *m = raft_member_list (c->raft);
-  buf_t b;
-
-  if (m == c->members)
-    return;
-  c->members = m;
-  c->members_number++;
-  buf_init (&b);
-  for (size_t i = 0; i < m->list.n; i++)
-    {
-      const member_t *x = LIST_AT (m->list, member_t, i);
-      buf_fmt (&b, "%s" STR_FMT "%s", i ? "," : "", STR_ARG (x->name),
-               x->voter ? "" : "(learner)");
-    }
-  log_event (EV_RAFT_MEMBERS, "members=" STR_FMT, STR_ARG (buf_str (&b)));
-  buf_free (&b);
-}
-
-static void
-log_role (cell_t *c)
-{
-  raft_role_t role = raft_role (c->raft);
-  int64_t term = raft_term (c->raft);
-  int64_t leader = raft_leader (c->raft);
-
-  if (role == c->role && term == c->term && leader == c->leader)
-    return;
-  c->role = role;
-  c->term = term;
-  c->leader = leader;
-  const member_t *l = raft_member (c->raft, leader);
-  log_event (EV_RAFT_ROLE, "role=%s term=%lld leader=" STR_FMT,
-             role == RAFT_LEADER ? "leader" : "follower", (long long)term,
-             STR_ARG (l ? l->name : STR ("-")));
-}
-
 static void
 catch_up (cell_t *c)
 {
@@ -161,8 +119,7 @@
       news_spread (c);
     }
   catch_up (c);
-  log_members (c);
-  log_role (c);
+  raft_observe (c->raft, &c->seen);
   pending_review (c);
   if (now - c->gossiped >= GOSSIP_EVERY)
     {
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -163,11 +163,7 @@
   roster_table_t roster;
   int64_t recorded; /* number of the roster in the log, -1: not by this one */
   msec_t recorded_at;
-  raft_role_t role;
-  int64_t term;
-  int64_t leader;
-  const members_t *members;
-  int64_t members_number; /* of changes seen, from 1 */
+  raft_seen_t seen;
   takeover_t take[SERVICES];
   size_t ntake;
   dbprobe_t *probes;
