Wait for a full disk instead of ending the process

At disk_full it ended with E1003 "write: No space left on device", was started again after 0.5 s, failed on the same write and ended again until there was room; all that it knew of databases and entry instances was lost each time, and its connections with it.

Cause: any refused write stopped the replicated log for good, and the host ended the process.

A refused write (ERR_SYS) counts as not made: the event behind it has no effect, as if its message had been lost, and nothing is answered that rests on it (lib/raft/write.c). Such an instance resigns, does not campaign, refuses pre-votes, follows the leader and answers heartbeats without entries; every 100 ms a write is tried again. A term may be followed before it is stored, but no vote and no entry is stored before its term. A start on a full disk waits for room (raft_open, which both hosts had a copy of). Damage still ends the process.

Ruled out: ending and starting later (loses what the instance knows and looks like a crash); a leader that keeps its place and lets a quorum of the others store its entries (its own log would run ahead of its disk, for a gain of half a second).

The simulation notes a vote as given once it is stored: a refused one is answered to nobody.

--- a/cmd/pimentopostd/decide.c
+++ b/cmd/pimentopostd/decide.c
@@ -391,28 +391,15 @@
 static bool
 open_log (decide_t *d, const settings_t *s, err_t *e)
 {
-  raft_conf_t conf = { .name = s->name };
-  const store_fs_t *fs;
-  void *arg;
-  raft_saved_t saved;
-  apr_pool_t *tmp;
-  msec_t began = msec_now ();
-  int64_t id = (int64_t)(rng_u64 (&d->rng) >> 1) | 1;
-
-  if (!store_files (d->pool, str_dup (d->pool, s->data).p, &fs, &arg, e))
-    return false;
-  apr_pool_create (&tmp, d->pool);
-  d->store = store_open (d->pool, tmp, fs, arg, id, &saved, e);
-  if (d->store)
-    d->raft
-        = raft_new (d->pool, &conf, &log_ops, d, &saved, &d->rng, d->now, e);
-  if (d->raft)
-    log_event (EV_RAFT_IDENTITY,
-               "id=%lld term=%lld snapshot=%lld entries=%zu ms=%lld",
-               (long long)saved.id, (long long)saved.term,
-               (long long)saved.snap.index, saved.entries.n,
-               (long long)(msec_now () - began));
-  apr_pool_destroy (tmp);
+  raft_open_t o = { .path = s->data,
+                    .conf = { .name = s->name },
+                    .ops = &log_ops,
+                    .arg = d,
+                    .rng = &d->rng,
+                    .now = d->now,
+                    .store = &d->store };
+
+  d->raft = raft_open (d->pool, &o, e);
   return d->raft != NULL;
 }
 
--- a/include/raft.h
+++ b/include/raft.h
@@ -5,8 +5,9 @@
    Algorithm", with pre-vote and check-quorum from Ongaro's dissertation.
 
    One thread uses a raft_t.  Every event takes NOW; a NOW that goes backwards
-   is taken as the last one.  An event that returns false because the store
-   failed (ERR_SYS, ERR_CORRUPT, ERR_STATE) leaves the instance stopped: it
+   is taken as the last one.  A disk that refuses a write (ERR_SYS) is waited
+   out, see raft_blocked.  An event that returns false because the store
+   failed otherwise (ERR_CORRUPT, ERR_STATE) leaves the instance stopped: it
    sends nothing more, and the process has to end.  */
 
 #ifndef RAFT_H
@@ -65,7 +66,8 @@
      that is being received.  Must not call raft functions.  */
   void (*send) (void *arg, int64_t to, msgtype_t type, const void *msg);
 
-  /* The next four return only when the change is durable.  */
+  /* The next four return true only when the change is durable.  ERR_SYS: it
+     counts as not made, and writes can be tried again later.  */
   bool (*save_vote) (void *arg, int64_t term, int64_t vote, err_t *e);
   /* Drops stored entries from V[0].index on, then appends the N entries.  */
   bool (*save_entries) (void *arg, const log_entry_t *v, size_t n, err_t *e);
@@ -137,7 +139,8 @@
 bool raft_members (raft_t *r, member_op_t op, const member_t *m, msec_t now,
                    err_t *e);
 /* raft_bootstrap: first membership, with an empty log only (ERR_STATE).  Only
-   one instance of a deployment may call this; see docs/design.md.  */
+   one instance of a deployment may call this; see docs/design.md.  The log is
+   still empty after it when the disk refused: call it again.  */
 bool raft_bootstrap (raft_t *r, const member_t *m, size_t n, msec_t now,
                      err_t *e);
 
@@ -157,6 +160,11 @@
 int64_t raft_last (const raft_t *r);    /* index of the last entry */
 int64_t raft_commit (const raft_t *r);  /* index of the last committed one */
 int64_t raft_applied (const raft_t *r); /* index of the last applied one */
+/* raft_blocked: whether the disk refused the last write, with its error.  Such
+   an instance follows and answers heartbeats; it neither leads nor campaigns,
+   and votes for and acknowledges nothing that it cannot store.  Writes are
+   tried again until one succeeds.  */
+bool raft_blocked (const raft_t *r, err_t *e);
 /* raft_member_list: the membership in force, members_t.  */
 const members_t *raft_member_list (const raft_t *r);
 const member_t *raft_member (const raft_t *r, int64_t id);
@@ -169,9 +177,10 @@
   int64_t leader;
   const members_t *members;
   int64_t members_number; /* of changes seen, from 1 */
+  bool blocked;
 } raft_seen_t;
 
-/* raft_observe: logs what changed of role, leader and membership.  */
+/* raft_observe: logs what changed of role, leader, membership and disk.  */
 void raft_observe (const raft_t *r, raft_seen_t *seen);
 
 /* ---- store ---- */
@@ -205,7 +214,23 @@
    offset.  */
 store_t *store_open (apr_pool_t *pool, apr_pool_t *tmp, const store_fs_t *fs,
                      void *arg, int64_t new_id, raft_saved_t *out, err_t *e);
-/* These have the contract of raft_ops_t.  */
+/* What raft_open is given; STORE is where the store goes.  */
+typedef struct
+{
+  str_t path;
+  raft_conf_t conf;
+  const raft_ops_t *ops;
+  void *arg;
+  rng_t *rng;
+  msec_t now;
+  store_t **store;
+} raft_open_t;
+
+/* raft_open: an instance with its store in the folder PATH; for programs that
+   start.  Waits while the disk is full or refuses writes.  */
+raft_t *raft_open (apr_pool_t *pool, const raft_open_t *o, err_t *e);
+/* These have the contract of raft_ops_t: after ERR_SYS the store is as it was
+   before, and the next write first removes what the refused one left.  */
 bool store_vote (store_t *s, int64_t term, int64_t vote, err_t *e);
 bool store_entries (store_t *s, const log_entry_t *v, size_t n, err_t *e);
 bool store_snapshot (store_t *s, const raft_snap_t *snap, err_t *e);
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -6,25 +6,15 @@
 static bool
 open_log (cell_t *c, err_t *e)
 {
-  raft_conf_t conf = { .name = c->conf.name, .eager = true };
-  const store_fs_t *fs;
-  void *arg;
-  raft_saved_t saved;
-  apr_pool_t *tmp;
-  int64_t id = (int64_t)(rng_u64 (&c->rng) >> 1) | 1;
+  raft_open_t o = { .path = c->conf.data,
+                    .conf = { .name = c->conf.name, .eager = true },
+                    .ops = &cell_raft_ops,
+                    .arg = c,
+                    .rng = &c->rng,
+                    .now = c->now,
+                    .store = &c->store };
 
-  if (!store_files (c->pool, str_dup (c->pool, c->conf.data).p, &fs, &arg, e))
-    return false;
-  apr_pool_create (&tmp, c->pool);
-  c->store = store_open (c->pool, tmp, fs, arg, id, &saved, e);
-  if (c->store)
-    c->raft = raft_new (c->pool, &conf, &cell_raft_ops, c, &saved, &c->rng,
-                        c->now, e);
-  if (c->raft)
-    log_event (EV_RAFT_IDENTITY, "id=%lld term=%lld snapshot=%lld entries=%zu",
-               (long long)saved.id, (long long)saved.term,
-               (long long)saved.snap.index, saved.entries.n);
-  apr_pool_destroy (tmp);
+  c->raft = raft_open (c->pool, &o, e);
   return c->raft != NULL;
 }
 
--- a/lib/raft/append.c
+++ b/lib/raft/append.c
@@ -247,9 +247,6 @@
     return false;
   if (r->role == RAFT_LEADER && !is_voter (r, r->id)
       && r->commit >= r->members_index)
-    {
-      r->leader = 0;
-      return follow (r, r->term);
-    }
+    resign (r);
   return compact (r);
 }
--- a/lib/raft/load.c
+++ b/lib/raft/load.c
@@ -61,18 +61,6 @@
   return APR_ARRAY_IDX (l->names, i, char *);
 }
 
-static bool
-numbered (const char *name, const char *prefix, int64_t *n)
-{
-  size_t k = strlen (prefix);
-  char *end;
-
-  if (strncmp (name, prefix, k) != 0 || strlen (name) != k + 16)
-    return false;
-  *n = (int64_t)strtoull (name + k, &end, 16);
-  return *end == '\0';
-}
-
 static bool
 load_state (load_t *l, err_t *e)
 {
@@ -309,7 +297,7 @@
         || (numbered (name_at (l, i), "snap-", &n) && n < keep))
       if (!l->s->fs->remove (l->s->arg, name_at (l, i), e))
         return false;
-  return keep == 0 || store_prune (l->s, keep, e);
+  return keep == 0 || store_prune (l->s, e);
 }
 
 /* Makes a new store.  A crash while doing so leaves at most an empty first
--- a/lib/raft/local.h
+++ b/lib/raft/local.h
@@ -51,6 +51,9 @@
   int64_t id;
   int64_t term;
   int64_t vote;
+  int64_t saved_term; /* at most TERM, see write.c */
+  bool blocked;       /* the disk refused the last write */
+  msec_t retry_at;
   raft_role_t role;
   bool pre; /* candidate that asks for pre-votes */
   int64_t leader;
@@ -111,11 +114,29 @@
 bool hear_leader (raft_t *r, int64_t term, int64_t from);
 /* last_quorum: leader: when a quorum last answered, at least its election.  */
 msec_t last_quorum (const raft_t *r);
+/* resign: gives up leading or campaigning in the present term.  */
+void resign (raft_t *r);
 /* follow: becomes a follower in TERM, at least the present one.  */
 bool follow (raft_t *r, int64_t term);
+/* append_own: appends an entry of a leader, which resigns when the disk
+   refuses it.  */
 bool append_own (raft_t *r, int64_t kind, str_t data);
+/* not_written: fills E for an entry that append_own did not append.  */
+bool not_written (const raft_t *r, err_t *e);
 void send_to (raft_t *r, int64_t to, msgtype_t type, const void *msg);
 
+/* write.c */
+/* May_write: false for a while after a refused write.  The others return false
+   when the disk refused, with no other effect, or when the instance
+   stopped.  */
+bool may_write (const raft_t *r);
+bool write_vote (raft_t *r, int64_t term, int64_t vote);
+bool write_entries (raft_t *r, const log_entry_t *v, size_t n);
+bool write_snapshot (raft_t *r, const raft_snap_t *s);
+bool write_install (raft_t *r, const raft_snap_t *s);
+/* write_retry: looks whether a disk that refused takes writes again.  */
+void write_retry (raft_t *r);
+
 /* vote.c */
 bool start_prevote (raft_t *r);
 bool recv_vote_req (raft_t *r, const vote_req_t *m);
--- a/lib/raft/log.c
+++ b/lib/raft/log.c
@@ -88,8 +88,8 @@
                     (long long)v[0].index, (long long)r->commit,
                     (long long)log_last (r))
            || failed (r);
-  if (!r->ops->save_entries (r->arg, v, n, &r->err))
-    return failed (r);
+  if (!write_entries (r, v, n))
+    return false;
   members = r->members_index >= v[0].index;
   log_cut (r, v[0].index);
   for (size_t i = 0; i < n; i++)
--- a/lib/raft/member.c
+++ b/lib/raft/member.c
@@ -149,7 +149,7 @@
 
 /* Appends the membership of the N members at V.  */
 static bool
-change (raft_t *r, member_t *v, size_t n)
+change (raft_t *r, member_t *v, size_t n, err_t *e)
 {
   members_t m = { .list = { v, n } };
   buf_t b;
@@ -158,7 +158,7 @@
   rpc_pack (&b, MSG_MEMBERS, &m);
   bool ok = append_own (r, ENTRY_MEMBERS, buf_str (&b));
   buf_free (&b);
-  return ok;
+  return ok || not_written (r, e);
 }
 
 /* Writes the first entry of a deployment.  */
@@ -221,7 +221,7 @@
 
 /* Takes over a new address of a member.  */
 static bool
-move (raft_t *r, const member_t *m)
+move (raft_t *r, const member_t *m, err_t *e)
 {
   member_t v[PEERS_MAX + 1];
   size_t n = copy_members (r, 0, v);
@@ -231,7 +231,7 @@
   for (size_t i = 0; i < n; i++)
     if (v[i].id == m->id)
       v[i].address = m->address;
-  return change (r, v, n);
+  return change (r, v, n, e);
 }
 
 static bool
@@ -242,7 +242,7 @@
   const member_t *learner = by_name (r, m->name, false, m->id);
 
   if (raft_member (r, m->id))
-    return move (r, m);
+    return move (r, m, e);
   if ((voter && answers (r, voter->id))
       || (learner && answers (r, learner->id)))
     return err_set (e, ERR_CONFLICT, "members",
@@ -253,7 +253,7 @@
     return err_set (e, ERR_FULL, "members", "%d members", PEERS_MAX);
   v[n] = *m;
   v[n++].voter = false;
-  return change (r, v, n);
+  return change (r, v, n, e);
 }
 
 bool
@@ -275,7 +275,7 @@
     return true;
   if (is_voter (r, m->id) && voters (r) == 1)
     return err_set (e, ERR_STATE, "members", "the last voter has to stay");
-  return change (r, v, copy_members (r, m->id, v));
+  return change (r, v, copy_members (r, m->id, v), e);
 }
 
 /* Makes the learner M a voter.  */
@@ -288,7 +288,7 @@
   for (size_t i = 0; i < n; i++)
     if (v[i].id == m->id)
       v[i].voter = true;
-  change (r, v, n);
+  change (r, v, n, NULL);
 }
 
 /* Whether enough voters answer for one more of them: a promotion that raises
@@ -324,7 +324,7 @@
       if (old == NULL && room_for_voter (r))
         promote (r, m);
       else if (old)
-        change (r, v, copy_members (r, old->id, v));
+        change (r, v, copy_members (r, old->id, v), NULL);
       return;
     }
 }
@@ -349,9 +349,9 @@
   if (!follow (r, r->term + 1 + (int64_t)rng_below (r->rng, 1000))
       || !first_entry (r, v, n))
     {
-      if (e)
+      if (r->stopped && e)
         *e = r->err;
-      return false;
+      return !r->stopped;
     }
   r->deadline = r->now;
   return true;
--- /dev/null
+++ b/lib/raft/mend.c
@@ -0,0 +1,71 @@
+#include "store.h"
+
+#include <string.h>
+
+/* A write that the disk refused counts as not made.  What it left behind would
+   be taken for a part of the store later: bytes behind the last record, a
+   segment or a snapshot that was not finished, a file not yet renamed.  */
+
+/* Whether the file NAME does not count.  */
+typedef bool (*unwanted_t) (const store_t *s, const char *name);
+
+static bool
+unfinished (const store_t *s, const char *name)
+{
+  int64_t n;
+
+  return strcmp (name, "tmp") == 0
+         || (numbered (name, "log-", &n) && n > s->last_seq);
+}
+
+static bool
+other_snapshot (const store_t *s, const char *name)
+{
+  int64_t n;
+
+  return numbered (name, "snap-", &n) && n != s->snap_index;
+}
+
+static bool
+remove_files (store_t *s, const apr_array_header_t *names, unwanted_t unwanted,
+              err_t *e)
+{
+  for (int i = 0; i < names->nelts; i++)
+    {
+      const char *name = APR_ARRAY_IDX (names, i, const char *);
+      if (unwanted (s, name) && !s->fs->remove (s->arg, name, e))
+        return false;
+    }
+  return s->fs->sync_dir (s->arg, e);
+}
+
+/* A segment that resets the log goes before the snapshot that it rests on.  */
+static bool
+remove_left (store_t *s, err_t *e)
+{
+  apr_pool_t *pool;
+
+  if (apr_pool_create (&pool, NULL))
+    return err_set (e, ERR_NOMEM, "data folder", "no pool");
+  apr_array_header_t *names = apr_array_make (pool, 8, sizeof (char *));
+  bool ok = s->fs->list (s->arg, names, e)
+            && remove_files (s, names, unfinished, e)
+            && remove_files (s, names, other_snapshot, e);
+  apr_pool_destroy (pool);
+  return ok;
+}
+
+bool
+store_mend (store_t *s, err_t *e)
+{
+  char name[32];
+
+  if (s->left && !remove_left (s, e))
+    return false;
+  s->left = false;
+  segment_name (name, s->last_seq);
+  if (s->torn && !s->fs->truncate (s->arg, name, (int64_t)s->size, e))
+    return false;
+  s->torn = false;
+  return true;
+}
--- a/lib/raft/observe.c
+++ b/lib/raft/observe.c
@@ -36,9 +36,28 @@
   buf_free (&b);
 }
 
+static void
+observe_disk (const raft_t *r, raft_seen_t *s)
+{
+  err_t e = { 0 };
+  bool blocked = raft_blocked (r, &e);
+  char line[256];
+
+  if (blocked == s->blocked)
+    return;
+  s->blocked = blocked;
+  err_line (&e, line, sizeof line);
+  if (blocked)
+    log_event (EV_DISK_REFUSES, "cause=%s", line);
+  else
+    log_event (EV_DISK_TAKES, "term=%lld last=%lld", (long long)raft_term (r),
+               (long long)raft_last (r));
+}
+
 void
 raft_observe (const raft_t *r, raft_seen_t *s)
 {
+  observe_disk (r, s);
   observe_role (r, s);
   observe_members (r, s);
 }
--- a/lib/raft/raft.c
+++ b/lib/raft/raft.c
@@ -41,6 +41,13 @@
                                                  - RAFT_ELECTION_MIN + 1);
 }
 
+void
+resign (raft_t *r)
+{
+  r->leader = 0;
+  follow (r, r->term);
+}
+
 bool
 follow (raft_t *r, int64_t term)
 {
@@ -58,7 +65,7 @@
   r->term = term;
   r->vote = 0;
   r->leader = 0;
-  return r->ops->save_vote (r->arg, r->term, r->vote, &r->err) || failed (r);
+  return write_vote (r, r->term, r->vote) || !r->stopped;
 }
 
 bool
@@ -91,7 +98,7 @@
 load (raft_t *r, const raft_saved_t *s)
 {
   r->id = s->id;
-  r->term = s->term;
+  r->term = r->saved_term = s->term;
   r->vote = s->vote;
   if (s->snap.index)
     {
@@ -195,8 +202,7 @@
 {
   if (r->now - last_quorum (r) > RAFT_ELECTION_MAX)
     {
-      r->leader = 0;
-      follow (r, r->term);
+      resign (r);
       return;
     }
   if (r->now - r->beat < RAFT_HEARTBEAT)
@@ -213,12 +219,13 @@
     return finish (r, e);
   if (r->applied < r->commit && !apply_committed (r))
     return finish (r, e);
+  write_retry (r);
   if (r->role == RAFT_LEADER)
     tick_leader (r);
   else if (r->now >= r->deadline)
     {
       r->leader = 0;
-      if (may_campaign (r))
+      if (may_campaign (r) && !r->blocked)
         start_prevote (r);
       else
         reset_timeout (r);
@@ -234,11 +241,26 @@
   };
 
   if (!log_append (r, &v, 1))
-    return false;
+    {
+      if (!r->stopped)
+        resign (r);
+      return false;
+    }
   replicate_all (r, false);
   return advance (r);
 }
 
+bool
+not_written (const raft_t *r, err_t *e)
+{
+  if (r->stopped && e)
+    *e = r->err;
+  return !r->stopped
+         && err_set (e, ERR_NOT_LEADER, "log",
+                     "resigned since the disk refuses writes: %s",
+                     r->err.detail);
+}
+
 bool
 raft_propose (raft_t *r, str_t record, msec_t now, int64_t *index, err_t *e)
 {
@@ -254,8 +276,7 @@
                     RAFT_MAX_UNCOMMITTED);
   if (index)
     *index = log_last (r) + 1;
-  append_own (r, ENTRY_RECORD, record);
-  return finish (r, e);
+  return append_own (r, ENTRY_RECORD, record) || not_written (r, e);
 }
 
 raft_role_t
--- a/lib/raft/snap.c
+++ b/lib/raft/snap.c
@@ -56,7 +56,7 @@
   int64_t behind = r->snap ? r->snap->s.index : 0;
   buf_t b;
 
-  if (r->applied - behind < r->conf.compact_after)
+  if (r->applied - behind < r->conf.compact_after || !may_write (r))
     return true;
   buf_init (&b);
   r->ops->snapshot (r->arg, &b);
@@ -64,12 +64,12 @@
                     .term = log_term (r, r->applied),
                     .members = members_at (r, r->applied),
                     .data = buf_str (&b) };
-  bool ok = r->ops->save_snapshot (r->arg, &s, &r->err);
+  bool ok = write_snapshot (r, &s);
   if (ok)
     hold_snapshot (r, &s);
   buf_free (&b);
   if (!ok)
-    return failed (r);
+    return !r->stopped;
   log_drop (r, r->applied - r->conf.trail);
   return true;
 }
@@ -147,8 +147,9 @@
                     .members = m->members,
                     .data = buf_str (&r->in) };
 
-  if (!r->ops->install_snapshot (r->arg, &s, &r->err)
-      || !r->ops->restore (r->arg, &s, &r->err))
+  if (!write_install (r, &s))
+    return false;
+  if (!r->ops->restore (r->arg, &s, &r->err))
     return failed (r);
   hold_snapshot (r, &s);
   log_reset (r, s.index, s.term);
--- a/lib/raft/store.c
+++ b/lib/raft/store.c
@@ -1,6 +1,7 @@
 #include "store.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -100,31 +101,47 @@
             && s->fs->rename (s->arg, "tmp", name, e)
             && s->fs->sync_dir (s->arg, e);
   buf_free (&b);
+  s->left |= !ok;
   return ok;
 }
 
-/* ---- what raft saves ---- */
+/* ---- names ---- */
 
 bool
-store_vote (store_t *s, int64_t term, int64_t vote, err_t *e)
+numbered (const char *name, const char *prefix, int64_t *n)
 {
-  raft_state_t st = { .id = s->id, .term = term, .vote = vote };
+  size_t k = strlen (prefix);
+  char *end;
 
-  return store_replace (s, "state", MSG_RAFT_STATE, &st, e);
+  if (strncmp (name, prefix, k) != 0 || strlen (name) != k + 16)
+    return false;
+  *n = (int64_t)strtoull (name + k, &end, 16);
+  return *end == '\0';
 }
 
-static void
+void
 segment_name (char name[32], int64_t seq)
 {
   snprintf (name, 32, "log-%016llx", (unsigned long long)seq);
 }
 
-static void
+void
 snapshot_name (char name[32], int64_t index)
 {
   snprintf (name, 32, "snap-%016llx", (unsigned long long)index);
 }
 
+/* ---- what raft saves ---- */
+
+bool
+store_vote (store_t *s, int64_t term, int64_t vote, err_t *e)
+{
+  raft_state_t st = { .id = s->id, .term = term, .vote = vote };
+
+  return store_mend (s, e)
+         && store_replace (s, "state", MSG_RAFT_STATE, &st, e);
+}
+
 bool
 segment_begin (store_t *s, int64_t base, int64_t base_term, bool reset,
                err_t *e)
@@ -140,7 +157,10 @@
   segment_name (name, s->last_seq + 1);
   if (!s->fs->append (s->arg, name, (str_t){ (char *)h, sizeof h }, SYNC, e)
       || !s->fs->sync_dir (s->arg, e))
-    return false;
+    {
+      s->left = true;
+      return false;
+    }
   s->last_seq++;
   s->size = SEGMENT_HEAD;
   APR_ARRAY_PUSH (s->segments, segment_t)
@@ -157,6 +177,8 @@
 
   if (n == 0)
     return true;
+  if (!store_mend (s, e))
+    return false;
   if (s->size > SEGMENT_MAX
       && !segment_begin (s, s->last, s->last_term, false, e))
     return false;
@@ -170,39 +192,31 @@
       s->last = v[n - 1].index;
       s->last_term = v[n - 1].term;
     }
+  s->torn |= !ok;
   buf_free (&b);
   return ok;
 }
 
-/* Removes the segments and snapshots that the snapshot at INDEX makes
-   unnecessary, oldest first, so that a crash leaves a whole rest.  */
 bool
-store_prune (store_t *s, int64_t index, err_t *e)
+store_prune (store_t *s, err_t *e)
 {
+  apr_array_header_t *v = s->segments;
   char name[32];
   int k = 0;
 
-  for (int i = 1; i < s->segments->nelts; i++)
-    if (APR_ARRAY_IDX (s->segments, i, segment_t).base <= index
-        || APR_ARRAY_IDX (s->segments, i, segment_t).reset)
+  for (int i = 1; i < v->nelts; i++)
+    if (APR_ARRAY_IDX (v, i, segment_t).base <= s->snap_index
+        || APR_ARRAY_IDX (v, i, segment_t).reset)
       k = i;
-  for (int i = 0; i < k; i++)
+  for (; k > 0; k--)
     {
-      segment_name (name, APR_ARRAY_IDX (s->segments, i, segment_t).seq);
+      segment_name (name, APR_ARRAY_IDX (v, 0, segment_t).seq);
       if (!s->fs->remove (s->arg, name, e))
         return false;
+      v->nelts--;
+      memmove (v->elts, v->elts + v->elt_size,
+               (size_t)v->nelts * (size_t)v->elt_size);
     }
-  for (int i = k; i < s->segments->nelts; i++)
-    APR_ARRAY_IDX (s->segments, i - k, segment_t)
-        = APR_ARRAY_IDX (s->segments, i, segment_t);
-  s->segments->nelts -= k;
-  if (s->snap_index && s->snap_index != index)
-    {
-      snapshot_name (name, s->snap_index);
-      if (!s->fs->remove (s->arg, name, e))
-        return false;
-    }
-  s->snap_index = index;
   return s->fs->sync_dir (s->arg, e);
 }
 
@@ -212,15 +226,36 @@
   char name[32];
 
   snapshot_name (name, snap->index);
-  return store_replace (s, name, MSG_RAFT_SNAP, snap, e);
+  return store_mend (s, e) && store_replace (s, name, MSG_RAFT_SNAP, snap, e);
+}
+
+/* Makes the snapshot at INDEX, which is saved, the one that counts.  What it
+   replaces is in nobody's way: should it not be removed now, a later write
+   does that.  */
+static void
+adopt (store_t *s, int64_t index)
+{
+  char name[32];
+  int64_t old = s->snap_index;
+  err_t e = { 0 };
+
+  s->snap_index = index;
+  snapshot_name (name, old);
+  if (!store_prune (s, &e)
+      || (old && old != index
+          && !(s->fs->remove (s->arg, name, &e)
+               && s->fs->sync_dir (s->arg, &e))))
+    s->left = true;
 }
 
 bool
 store_snapshot (store_t *s, const raft_snap_t *snap, err_t *e)
 {
-  return save (s, snap, e)
-         && segment_begin (s, s->last, s->last_term, false, e)
-         && store_prune (s, snap->index, e);
+  if (!save (s, snap, e)
+      || !segment_begin (s, s->last, s->last_term, false, e))
+    return false;
+  adopt (s, snap->index);
+  return true;
 }
 
 bool
@@ -231,5 +266,6 @@
     return false;
   s->last = snap->index;
   s->last_term = snap->term;
-  return store_prune (s, snap->index, e);
+  adopt (s, snap->index);
+  return true;
 }
--- a/lib/raft/store.h
+++ b/lib/raft/store.h
@@ -43,6 +43,8 @@
   apr_array_header_t *segments;
   int64_t last_seq;
   size_t size; /* of the last segment */
+  bool torn;   /* a refused write may have left bytes behind SIZE */
+  bool left;   /* or files that do not count */
   int64_t last;
   int64_t last_term;
   int64_t snap_index;
@@ -59,6 +61,17 @@
                     const void *msg, err_t *e);
 bool segment_begin (store_t *s, int64_t base, int64_t base_term, bool reset,
                     err_t *e);
-bool store_prune (store_t *s, int64_t index, err_t *e);
+/* store_prune: removes the segments that the present snapshot makes
+   unnecessary, oldest first, so that a crash leaves a whole rest.  */
+bool store_prune (store_t *s, err_t *e);
+void segment_name (char name[32], int64_t seq);
+void snapshot_name (char name[32], int64_t index);
+/* numbered: whether NAME is PREFIX and a number of 16 hexadecimal digits.  */
+bool numbered (const char *name, const char *prefix, int64_t *n);
+
+/* mend.c */
+/* store_mend: removes what refused writes left behind.  Called before each
+   write.  */
+bool store_mend (store_t *s, err_t *e);
 
 #endif
--- a/lib/raft/vote.c
+++ b/lib/raft/vote.c
@@ -49,13 +49,16 @@
 static bool
 start_election (raft_t *r)
 {
+  if (!write_vote (r, r->term + 1, r->id))
+    {
+      resign (r);
+      return !r->stopped;
+    }
   r->pre = false;
   r->term++;
   r->vote = r->id;
   r->leader = 0;
   reset_timeout (r);
-  if (!r->ops->save_vote (r->arg, r->term, r->vote, &r->err))
-    return failed (r);
   ask_votes (r);
   return granted (r) < quorum (r) || lead (r);
 }
@@ -115,7 +118,7 @@
     }
   if (m->pre)
     {
-      answer (r, m, m->term > r->term && log_up_to_date (r, m));
+      answer (r, m, m->term > r->term && log_up_to_date (r, m) && !r->blocked);
       return true;
     }
   if (m->term > r->term && !follow (r, m->term))
@@ -127,9 +130,9 @@
 #endif
   if (grant && r->vote != m->from)
     {
+      if (!write_vote (r, r->term, m->from))
+        return !r->stopped;
       r->vote = m->from;
-      if (!r->ops->save_vote (r->arg, r->term, r->vote, &r->err))
-        return failed (r);
     }
   if (grant)
     reset_timeout (r);
--- a/test/fuzz_raft.c
+++ b/test/fuzz_raft.c
@@ -208,8 +208,12 @@
     sim_run (s, 20 + arg / 2);
   else if (op < 252)
     next_leader (s);
-  else
+  else if (op < 254)
     sim_run (s, 400);
+  else if (op < 255)
+    sim_refuse (s, slot, 1 + (int)(arg / 16));
+  else
+    sim_refuse (s, slot, 0);
   while (s->queued > QUEUE_MAX)
     sim_drop (s, 0);
 }
--- a/test/memfs.c
+++ b/test/memfs.c
@@ -36,7 +36,8 @@
   dir_t durable;
   dir_t journal[JOURNAL]; /* state after each unsynced change of names */
   int changes;
-  int left; /* changes until they fail; 0: no limit */
+  int left;    /* changes until they fail; 0: no limit */
+  int refused; /* appends */
   inode_t inode[INODES];
 };
 
@@ -157,6 +158,9 @@
   if (d == NULL)
     d = make (m, name);
   inode_t *n = &m->inode[d->inode];
+  /* Every other refused append is a short write.  */
+  if (!ok && m->refused++ % 2)
+    data.n /= 2;
   buf_adds (&n->data, data);
   if (sync && ok)
     n->synced = n->data.n;
--- a/test/sim.h
+++ b/test/sim.h
@@ -72,6 +72,9 @@
 void sim_crash (sim_t *s, int slot);
 bool sim_start (sim_t *s, int slot);
 void sim_lose_disk (sim_t *s, int slot);
+/* sim_refuse: the disk of a running instance refuses the K-th write from now
+   on and all later ones; K of 0: it takes them again.  */
+void sim_refuse (sim_t *s, int slot, int k);
 void sim_cut (sim_t *s, int a, int b, bool cut);
 void sim_isolate (sim_t *s, int slot, bool cut);
 /* sim_join: lets the leader add running instances that are no members.  */
--- a/test/test_store.c
+++ b/test/test_store.c
@@ -293,6 +293,72 @@
 
 /* Guards against a slow start with 1,000 synced records in real files, and
    against two processes in one folder.  */
+/* Opens a copy of what is on the disk after a power loss and compares it with
+   what the store acknowledged.  */
+static void
+check_reopened (rng_t *rng, int64_t *last)
+{
+  memfs_crash (disk, rng);
+  ck_assert_msg (reopen () != NULL, "%s: %s", err.subject, err.detail);
+  int64_t got = saved.snap.index + (int64_t)saved.entries.n;
+  ck_assert_msg (got == *last || got == *last + 1, "%lld entries, not %lld",
+                 (long long)got, (long long)*last);
+  *last = got;
+}
+
+/* Guards against a write that a full disk refuses leaving something behind
+   that a later write, or the next start, takes for a part of the store.  */
+START_TEST (refused_writes)
+{
+  rng_t rng;
+
+  for (uint64_t seed = 1; seed <= 300; seed++)
+    {
+      int64_t last = 0;
+      rng_init (&rng, seed);
+      memfs_wipe (disk);
+      store_t *s = reopen ();
+      for (int i = 0; i < 40; i++)
+        {
+          memfs_fail (disk, 1 + (int)rng_below (&rng, 12));
+          while (change (s, &rng, &last))
+            ;
+          if (rng_below (&rng, 2))
+            ck_assert (!change (s, &rng, &last));
+          memfs_fail (disk, 0);
+          for (uint64_t k = rng_below (&rng, 4); k > 0; k--)
+            ck_assert (change (s, &rng, &last));
+        }
+      check_reopened (&rng, &last);
+    }
+}
+END_TEST
+
+/* The same for a snapshot received from a leader: it counts whole or not at
+   all, and the entries go on behind the one that counts.  */
+START_TEST (refused_install)
+{
+  rng_t rng;
+
+  for (uint64_t seed = 1; seed <= 400; seed++)
+    {
+      raft_snap_t snap = { .index = 50, .term = 3, .data = STR ("state") };
+      rng_init (&rng, seed);
+      memfs_wipe (disk);
+      store_t *s = reopen ();
+      fill (s, 1, 60, 2);
+      memfs_fail (disk, 1 + (int)(seed % 8));
+      bool ok = store_install (s, &snap, NULL);
+      memfs_fail (disk, 0);
+      int64_t last = ok ? 50 : 60;
+      fill (s, last + 1, last + 4, 3);
+      last += 4;
+      check_reopened (&rng, &last);
+      ck_assert_int_eq (saved.snap.index, ok ? 50 : 0);
+    }
+}
+END_TEST
+
 START_TEST (real_files)
 {
   char path[] = "/tmp/pimentopost-store-XXXXXX";
@@ -339,6 +405,8 @@
   tcase_add_test (c, compaction);
   tcase_add_test (c, crash_in_install);
   tcase_add_test (c, crash_anywhere);
+  tcase_add_test (c, refused_writes);
+  tcase_add_test (c, refused_install);
   tcase_add_test (c, real_files);
   suite_add_tcase (s, c);
   SRunner *r = srunner_create (s);
