Send a read of the leader only after its BEGIN has succeeded

Cause: BEGIN, ROLLBACK and the read were sent in one write. BEGIN was answered read-only, which shows that the database does not lead, but the read behind it stood outside the transaction and ran all the same.

Change: the read runs inside the proxy's own transaction and is sent once BEGIN has succeeded, like the statements of a client's transaction; its ROLLBACK goes in the same write. A database that loses the lead in between refuses any statement of the transaction, so the read cannot run late either, for instance after a wait for a slot. The steps MARK and UNMARK of a connection are BEGIN and ROLLBACK now, and a function that stood twice is gone.

Ruled out: sending the read behind BEGIN and ROLLBACK once BEGIN has succeeded (it may still wait for a slot while the lead is lost); trusting a recent sample (the lead can be lost at any moment after it).

Test: test_proxy read_of_primary_is_proven and old_primary_runs_no_read (before: answer_of_old_primary_is_dropped, which looked only at what the client got); both fail before, the read was sent to the replaced primary twice.

--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -247,18 +247,6 @@
   link_close (p, k);
 }
 
-static void
-learn (proxy_t *p, link_t *k, const db_msg_t *m)
-{
-  if (k->fail == FAIL_NONE)
-    {
-      marks_add (&k->db->service->marks, k->marked, m->pos);
-      lead_learned (k->db->service, k->db);
-    }
-  else if (k->fail == FAIL_READONLY)
-    lead_refused (k->db->service, k->db, p->now);
-}
-
 /* The answer to the oldest step is whole.  The link may be gone after it, or
    belong to another session.  */
 static void
@@ -274,10 +262,6 @@
     case STEP_START:
       started (p, k);
       return;
-    case STEP_MARK:
-      k->mark_ok = k->fail == FAIL_NONE;
-      learn (p, k, m);
-      break;
     case STEP_BEGIN:
       k->in_tx = m->state != TX_NONE;
       if (s)
@@ -299,7 +283,6 @@
       k->in_tx = m->state != TX_NONE;
       break;
     default:
-      k->prep_ok &= k->fail == FAIL_NONE;
       break;
     }
   clear_answer (k);
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -81,11 +81,10 @@
   STEP_RESET,
   STEP_SET,
   STEP_PREPARE,
-  STEP_MARK,    /* BEGIN that only proves leadership */
-  STEP_UNMARK,  /* and its ROLLBACK */
-  STEP_BEGIN,   /* of the client's transaction */
+  STEP_BEGIN,   /* of the client's transaction, or around one read of the
+                   leader */
   STEP_OP,      /* the client's statement */
-  STEP_ROLLBACK /* of the client's transaction */
+  STEP_ROLLBACK /* of either */
 } step_t;
 
 typedef enum
@@ -107,10 +106,8 @@
   int nstep;
   msec_t since;  /* of the state */
   msec_t sent;   /* when the oldest outstanding step was sent */
-  msec_t marked; /* when STEP_MARK or STEP_BEGIN was sent */
+  msec_t marked; /* when STEP_BEGIN was sent */
   bool in_tx;
-  bool prep_ok; /* all steps before STEP_OP succeeded */
-  bool mark_ok;
   bool closing;
   values_t values;
   values_t prepared; /* names on the connection; the value is empty */
@@ -348,9 +345,11 @@
 buf_t *link_out (link_t *k);
 
 /* send.c */
-/* link_begin: sends what the session's transaction needs on K.  */
+/* link_begin: sends what comes before the session's statement on K: BEGIN of
+   its transaction, or of one around a read that only the leader can serve.  */
 void link_begin (proxy_t *p, link_t *k, session_t *s);
-/* link_run: sends the session's statement on K.  */
+/* link_run: sends the session's statement on K, and what ends the transaction
+   around a read.  */
 void link_run (proxy_t *p, link_t *k, session_t *s);
 
 /* keep.c */
--- a/lib/proxy/send.c
+++ b/lib/proxy/send.c
@@ -49,22 +49,9 @@
   values_set (&k->prepared, op.name, (str_t){ 0 });
 }
 
-static void
-send_mark (proxy_t *p, link_t *k)
-{
-  op_t begin = { .kind = OP_BEGIN };
-  op_t end = { .kind = OP_ROLLBACK };
-
-  link_push (k, STEP_MARK);
-  p->conf.db->op (link_out (k), &begin, (str_t){ 0 }, (pos_t){ 0 });
-  link_push (k, STEP_UNMARK);
-  p->conf.db->op (link_out (k), &end, (str_t){ 0 }, (pos_t){ 0 });
-  k->marked = p->now;
-  k->mark_ok = false;
-}
-
-/* A replica may serve a transaction that only reads, after the position that
-   proves it fresh enough.  */
+/* A plain BEGIN succeeds only at the leader.  A replica may serve a
+   transaction that only reads, after the position that proves it fresh enough.
+ */
 void
 link_begin (proxy_t *p, link_t *k, session_t *s)
 {
@@ -82,17 +69,19 @@
 link_run (proxy_t *p, link_t *k, session_t *s)
 {
   request_t *r = &s->req;
+  op_t end = { .kind = OP_ROLLBACK };
   bool alone = s->tx == TX_NONE;
 
   send_values (p, k, s);
   send_prepare (p, k, s);
-  k->mark_ok = true;
-  if (alone && r->reads && r->lead)
-    send_mark (p, k);
   link_push (k, STEP_OP);
   p->conf.db->op (link_out (k), &r->op, str_of (r->prepared),
                   alone && r->reads && !r->lead ? r->need : (pos_t){ 0 });
+  if (alone && r->reads && r->lead)
+    {
+      link_push (k, STEP_ROLLBACK);
+      p->conf.db->op (link_out (k), &end, (str_t){ 0 }, (pos_t){ 0 });
+    }
   k->sent = p->now;
-  k->prep_ok = true;
   r->sent = true;
 }
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -234,7 +234,7 @@
   r->attempt = r->reads && s->tx == TX_NONE ? p->now + read_time (d, left)
                                             : r->deadline;
   wake_at (p, r->attempt);
-  if (s->tx == TX_OPEN)
+  if (s->tx == TX_OPEN || (r->reads && r->lead))
     link_begin (p, k, s);
   else
     link_run (p, k, s);
@@ -371,9 +371,11 @@
       try_other (s, d, f ? f : FAIL_LAGGING);
       return;
     }
-  s->tx_begun = true;
-  if (r->op.kind == OP_WRITE || r->op.writes)
-    s->tx_wrote = true;
+  if (s->tx == TX_OPEN)
+    {
+      s->tx_begun = true;
+      s->tx_wrote |= r->op.kind == OP_WRITE || r->op.writes;
+    }
   link_run (p, k, s);
 }
 
@@ -385,9 +387,8 @@
   db_t *d = k->db;
   fail_t f = k->fail;
 
-  if (f == FAIL_NONE && r->reads
-      && (!k->mark_ok || (!r->lead && pos_cmp (pos, r->need) < 0)))
-    f = r->lead ? FAIL_READONLY : FAIL_LAGGING;
+  if (f == FAIL_NONE && r->reads && !r->lead && pos_cmp (pos, r->need) < 0)
+    f = FAIL_LAGGING;
   if (f == FAIL_NONE)
     {
       double ms = (double)(p->now - k->sent);
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -9,7 +9,7 @@
   ck_assert_msg (stage_ask (c, text, want), "got: %s", (c)->got)
 
 /* Guards against a read of a primary route on a database that has lost the
-   lead: the proof of leadership comes before it on the same connection.  */
+   lead: it runs in a transaction that only the leader begins.  */
 START_TEST (read_of_primary_is_proven)
 {
   stage_t *s = stage_new (true);
@@ -18,14 +18,15 @@
   ASK (c, "QUERY r1 READ 7\r\n", "READY I");
   ck_assert_ptr_nonnull (strstr (c->got, "ROW db0\r\nCOMPLETE sig-db0\r\n"));
   ck_assert_ptr_nonnull (
-      strstr (s->db[0].log, "I- BEGIN|\nT- ROLLBACK|\nIr1 READ 7|\n"));
+      strstr (s->db[0].log, "I- BEGIN|\nTr1 READ 7|\nT- ROLLBACK|\n"));
   stage_free (s);
 }
 END_TEST
 
-/* Guards against a stale read: a database that no longer leads answers the
-   read, and its answer must not reach the client.  */
-START_TEST (answer_of_old_primary_is_dropped)
+/* Guards against a stale read: it must not even be sent to a database that no
+   longer leads, whose log lacks what its successor committed.  Found by the
+   soak, seed 1.  */
+START_TEST (old_primary_runs_no_read)
 {
   stage_t *s = stage_new (true);
   stage_client_t *c = stage_start (s, "lead");
@@ -38,6 +39,7 @@
   ASK (c, "QUERY r2 READ 7\r\n", "READY I");
   ck_assert_ptr_nonnull (strstr (c->got, "ROW db1"));
   ck_assert_ptr_null (strstr (c->got, "db0"));
+  ck_assert_int_eq (stage_saw (&s->db[0], "r2 READ"), 0);
   stage_free (s);
 }
 END_TEST
@@ -512,7 +514,7 @@
 
   tcase_set_timeout (t, 30);
   tcase_add_test (t, read_of_primary_is_proven);
-  tcase_add_test (t, answer_of_old_primary_is_dropped);
+  tcase_add_test (t, old_primary_runs_no_read);
   tcase_add_test (t, read_of_replica_names_a_position);
   tcase_add_test (t, session_sees_its_write);
   tcase_add_test (t, lost_answer_of_write_is_in_doubt);
