Split the proxy's statement file in three

lib/proxy/statement.c had grown to 570 lines with three jobs. What a statement waits for and how it is placed is attempt.c, what its client is told and what is logged is outcome.c, its start, events and limits stay. The function that forgets an answer stood twice, in link.c and statement.c, and is one now.

Moves and renames only; test_proxy and test_forward pass before and after.

--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -202,15 +202,6 @@
 
 /* ---- answers ---- */
 
-static void
-clear_answer (link_t *k)
-{
-  k->rows.n = k->rows.off = 0;
-  k->text.n = k->text.off = 0;
-  k->fail = FAIL_NONE;
-  k->done = false;
-}
-
 static void
 started (proxy_t *p, link_t *k)
 {
@@ -285,7 +276,7 @@
     default:
       break;
     }
-  clear_answer (k);
+  answer_clear (k);
   if (k->nstep == 0 && s == NULL)
     link_release (p, k);
 }
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -370,16 +370,34 @@
 
 /* statement.c */
 void statement_start (session_t *s, const op_t *op);
-/* statement_place: tries to place the statement; it may wait.  */
-void statement_place (session_t *s);
-void statement_pump (proxy_t *p, service_t *v);
 void statement_expire (session_t *s, msec_t now);
 /* statement_begun, statement_answer, statement_lost: events of the link.  */
 void statement_begun (session_t *s, link_t *k, fail_t f, pos_t pos);
 void statement_answer (session_t *s, link_t *k, tx_t state, pos_t pos);
 void statement_lost (session_t *s, link_t *k);
+
+/* attempt.c */
+/* statement_place: tries to place the statement; it may wait.  */
+void statement_place (session_t *s);
+/* statement_pump: places what waits for V.  */
+void statement_pump (proxy_t *p, service_t *v);
+/* statement_retry: places it again after D, or a lost connection, failed it
+   with F.  */
+void statement_retry (session_t *s, db_t *d, fail_t f);
+/* statement_dequeue: it waits no longer.  */
+void statement_dequeue (session_t *s);
+
+/* outcome.c */
 void statement_drop (session_t *s);
 void statement_fail (session_t *s, fail_t f, str_t text);
+/* statement_abort: its transaction cannot go on; nothing of it is kept.  */
+void statement_abort (session_t *s, str_t why);
+/* statement_doubt: it may or may not have taken effect.  */
+void statement_doubt (session_t *s, str_t why);
+/* statement_deliver: the whole answer on K goes to the client.  */
+void statement_deliver (session_t *s, link_t *k);
+/* answer_clear: forgets the answer on K.  */
+void answer_clear (link_t *k);
 
 /* forward.c */
 void forward_news (proxy_t *p, const news_t *n);
