Remove silent members beyond what the losses need

Cause: a control instance was replaced as planned, the new one first. The new one joined at 14.7 s, the old one stopped at 18.7 s; four voters stood, one of them gone for good. A silent member was removed only if another joined after its silence began (less a second), so it stayed.

Change: an instance is told how many losses are to be survived at once. While there are more than twice as many voters and one, a member that was silent for 2.5 s is removed, whenever others joined. One that comes back believes that it is a member; without a leader for 1 s it asks the others, and joins again.

Ruled out: a longer slack between join and silence (the time between both is the operator's); counting joins (lost with each leader).

Tests: test_cell planned_replacement_is_removed and removed_instance_joins_again, both failing before.

--- a/include/cell.h
+++ b/include/cell.h
@@ -48,6 +48,7 @@
   str_t *seeds;  /* rpc addresses of control instances known at start */
   size_t nseeds;
   bool first; /* the deployment starts for the first time */
+  int losses; /* control instances that may be lost at once; 0: unknown */
   const db_codec_t *db;
   cell_ops_t ops;
 } cell_conf_t;
--- a/lib/cell/join.c
+++ b/lib/cell/join.c
@@ -73,6 +73,32 @@
   cell_step (c, raft_bootstrap (c->raft, m, n, c->now, &c->err));
 }
 
+static void
+add_other (cell_t *c, str_t address)
+{
+  join_t *j = &c->join;
+
+  if (address.n == 0 || j->n == PEERS || str_eq (address, c->conf.address))
+    return;
+  for (size_t i = 0; i < j->n; i++)
+    if (str_eq (str_of (j->other[i].address), address))
+      return;
+  j->other[j->n] = (other_t){ .at = -1 };
+  snprintf (j->other[j->n].address, sizeof j->other[j->n].address, STR_FMT,
+            STR_ARG (address));
+  j->n++;
+}
+
+/* Members that no seed names may know the leader as well.  */
+static void
+add_members (cell_t *c)
+{
+  const members_t *m = raft_member_list (c->raft);
+
+  for (size_t i = 0; i < m->list.n; i++)
+    add_other (c, LIST_AT (m->list, member_t, i)->address);
+}
+
 void
 join_tick (cell_t *c)
 {
@@ -83,7 +109,11 @@
                 .join = true,
                 .zone = c->conf.zone };
 
-  if (self && str_eq (self->address, c->conf.address))
+  if (raft_leader (c->raft))
+    c->led_at = c->now;
+  /* A member that no leader calls may have been removed in its absence.  */
+  if (self && str_eq (self->address, c->conf.address)
+      && c->now - c->led_at < UNLED)
     return;
   if (forms_first (c))
     {
@@ -93,26 +123,11 @@
   if (c->now - c->join.asked < HELLO_EVERY)
     return;
   c->join.asked = c->now;
+  add_members (c);
   for (size_t i = 0; i < c->join.n; i++)
     peers_send (c, str_of (c->join.other[i].address), MSG_HELLO, &m, true);
 }
 
-static void
-add_other (cell_t *c, str_t address)
-{
-  join_t *j = &c->join;
-
-  if (address.n == 0 || j->n == PEERS || str_eq (address, c->conf.address))
-    return;
-  for (size_t i = 0; i < j->n; i++)
-    if (str_eq (str_of (j->other[i].address), address))
-      return;
-  j->other[j->n] = (other_t){ .at = -1 };
-  snprintf (j->other[j->n].address, sizeof j->other[j->n].address, STR_FMT,
-            STR_ARG (address));
-  j->n++;
-}
-
 void
 join_answer (cell_t *c, const hello_resp_t *m)
 {
@@ -199,6 +214,20 @@
     }
 }
 
+/* Whether there are more voters than the losses need.  A silent one of these
+   only raises the quorum: it may be gone for good, its successor having joined
+   long before.  It joins again when it comes back.  */
+static bool
+is_surplus (const cell_t *c)
+{
+  const members_t *m = raft_member_list (c->raft);
+  int voters = 0;
+
+  for (size_t i = 0; i < m->list.n; i++)
+    voters += LIST_AT (m->list, member_t, i)->voter;
+  return c->conf.losses > 0 && voters > 2 * c->conf.losses + 1;
+}
+
 /* Whether some voter joined after the member of slot S fell silent: it takes
    the place of that one, which would only raise the quorum.  An instance that
    is cut off for a while keeps its place, since nobody joined instead.  */
@@ -207,8 +236,6 @@
 {
   const members_t *m = raft_member_list (c->raft);
 
-  if (c->now - c->heard[s] < REPLACED)
-    return false;
   for (size_t i = 0; i < m->list.n; i++)
     {
       const member_t *x = LIST_AT (m->list, member_t, i);
@@ -238,7 +265,8 @@
     {
       member_t x = *LIST_AT (m->list, member_t, i);
       int s = slot (c, x.id);
-      if (s < 0 || x.id == raft_id (c->raft) || !was_replaced (c, s))
+      if (s < 0 || x.id == raft_id (c->raft) || c->now - c->heard[s] < REPLACED
+          || !(is_surplus (c) || was_replaced (c, s)))
         continue;
       if (raft_members (c->raft, MEMBER_REMOVE, &x, c->now, NULL))
         log_event (EV_RAFT_REMOVE, "id=%lld silent_ms=%lld", (long long)x.id,
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -25,7 +25,10 @@
   WARM = 5000,         /* ms after the start until all heartbeats were heard */
   REPLACED_SLACK = 1000, /* ms that a successor may join before the silence of
                             its predecessor is noticed */
-  REPLACED = 2500,       /* ms of silence of a member that another replaced */
+  REPLACED = 2500,       /* ms of silence of a member that another replaced, or
+                            that is more than the losses need */
+  UNLED = 1000,          /* ms without a leader until a member asks whether it
+                            still is one */
   PENDING = 64,          /* orders and reads at a time */
   SERVICES = 256
 };
@@ -134,6 +137,7 @@
   remote_t *remotes;
   remote_t *reply; /* connection of the message being received */
   join_t join;
+  msec_t led_at; /* when a leader was known last */
   /* What a joining or leaving of members was decided by.  */
   int64_t voter[PEERS];
   msec_t voter_since[PEERS];
--- a/test/soak/client.c
+++ b/test/soak/client.c
@@ -467,8 +467,12 @@
     COUNT (s, lost);
   if (s->state == SESSION_ASKED && !late && !crossed && !s->rude
       && calm (w, s->asked_at))
-    finding (w, "LOST", "%s '%s' at %s ended without an answer", s->ask->id,
-             s->ask->text, p->name);
+    finding (w, "LOST",
+             "%s '%s' at %s ended without an answer, %lld ms after it was "
+             "sent, run %d times, SIGTERM %lld ms ago, process %d",
+             s->ask->id, s->ask->text, p->name,
+             (long long)(w->now - s->asked_at), s->ask->runs,
+             p->term ? (long long)(w->now - p->term) : -1LL, p->pid);
 }
 
 static void
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -285,6 +285,7 @@
                     .seeds = w->seeds,
                     .nseeds = 3,
                     .first = first,
+                    .losses = 1,
                     .db = &pf_db,
                     .ops = { answer, promote, w } };
 
@@ -517,6 +518,78 @@
 }
 END_TEST
 
+static bool
+has_successor (world_t *w)
+{
+  return is_member (w, "c3");
+}
+
+static size_t
+members (const world_t *w)
+{
+  int l = leader (w);
+
+  return l < 0 ? 0 : raft_member_list (w->cell[l]->raft)->list.n;
+}
+
+static bool
+are_three (world_t *w)
+{
+  return members (w) == 3;
+}
+
+static bool
+are_four (world_t *w)
+{
+  return members (w) == 4;
+}
+
+/* Guards against the same when the successor joined first, long before its
+   predecessor ended: with a quorum of three of four, the loss of one disk was
+   the end.  Found by deploy/days/core.toml.  */
+START_TEST (planned_replacement_is_removed)
+{
+  world_t *w = world_new ();
+  int gone = leader (w);
+  char name[8];
+
+  snprintf (name, sizeof name, "c%d", gone);
+  start_cell (w, 3, false);
+  ck_assert (run (w, 6000, has_successor));
+  run (w, 3000, NULL);
+  ck_assert_uint_eq (members (w), 4);
+  w->stopped[gone] = true;
+  relay_cut (&w->relay[gone], true);
+  run (w, 1000, NULL);
+  ck_assert (run (w, 6000, are_three));
+  ck_assert (!is_member (w, name));
+  world_free (w);
+}
+END_TEST
+
+/* Guards against an instance that was removed while it was cut off staying
+   outside for good: it believes that it is a member.  */
+START_TEST (removed_instance_joins_again)
+{
+  world_t *w = world_new ();
+  char name[8];
+
+  start_cell (w, 3, false);
+  ck_assert (run (w, 6000, has_successor));
+  int cut = (leader (w) + 1) % 3;
+  snprintf (name, sizeof name, "c%d", cut);
+  w->stopped[cut] = true;
+  relay_cut (&w->relay[cut], true);
+  ck_assert (run (w, 6000, are_three));
+  w->stopped[cut] = false;
+  relay_cut (&w->relay[cut], false);
+  ck_assert (run (w, 6000, are_four));
+  run (w, 1000, NULL);
+  ck_assert (is_member (w, name));
+  world_free (w);
+}
+END_TEST
+
 /* Guards against the removal of an instance that is only cut off: nobody
    joined in its place.  */
 START_TEST (cut_instance_stays_a_member)
@@ -545,6 +618,8 @@
   tcase_add_test (t, lost_primary_is_replaced_by_the_most_advanced);
   tcase_add_test (t, unanswered_promotion_keeps_its_token);
   tcase_add_test (t, replaced_instance_is_removed);
+  tcase_add_test (t, planned_replacement_is_removed);
+  tcase_add_test (t, removed_instance_joins_again);
   tcase_add_test (t, cut_instance_stays_a_member);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
