--- /dev/null
+++ b/test/soak/dbconn.c
@@ -0,0 +1,162 @@
+#include "dbconn.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Connections to the stand-in databases.  */
+
+enum
+{
+  MAX_CONNS = 30
+};
+
+static void
+forget (dbconn_t *c)
+{
+  dbconn_t **at = (dbconn_t **)&c->db->conns;
+
+  while (*at != c)
+    at = &(*at)->next;
+  *at = c->next;
+  buf_free (&c->answer);
+  free (c);
+}
+
+static void
+startup (dbconn_t *c, const char *line)
+{
+  db_t *d = c->db;
+  char service[NAME] = "", who[64] = "", id[NAME] = "";
+  int n = 0;
+
+  sscanf (line, "%31s %63s %31s", service, who, id);
+  for (const dbconn_t *o = d->conns; o; o = o->next)
+    n++;
+  if (strcmp (service, d->service->name) != 0
+      || (id[0] && strcmp (id, d->id) != 0))
+    buf_fmt (&c->answer, "ERROR MISROUTED %s\r\n", d->id);
+  else if (n > MAX_CONNS)
+    buf_fmt (&c->answer, "ERROR TOOMANY %s\r\n", d->id);
+  else
+    {
+      c->started = true;
+      dbconn_ready (c);
+      return;
+    }
+  c->due = -1;
+}
+
+/* Runs what has come, up to a statement that takes time.  False when the
+   connection is gone.  */
+static bool
+run_lines (dbconn_t *c)
+{
+  char line[512];
+
+  while (c->due == 0)
+    {
+      str_t in = buf_str (stream_in (c->stream));
+      const char *lf = in.n ? memchr (in.p, '\n', in.n) : NULL;
+      if (lf == NULL)
+        break;
+      size_t n = (size_t)(lf - in.p);
+      snprintf (line, sizeof line, "%.*s", n ? (int)n - 1 : 0, in.p);
+      buf_take (stream_in (c->stream), n + 1);
+      if (strncmp (line, "STARTUP ", 8) == 0)
+        startup (c, line + 8);
+      else if (strncmp (line, "QUERY ", 6) == 0 && c->started)
+        dbconn_query (c, line + 6);
+      if (c->due == 0)
+        {
+          buf_adds (stream_out (c->stream), buf_str (&c->answer));
+          buf_take (&c->answer, buf_len (&c->answer));
+          stream_flush (c->stream);
+        }
+    }
+  if (c->due >= 0)
+    return true;
+  buf_adds (stream_out (c->stream), buf_str (&c->answer));
+  stream_flush (c->stream);
+  stream_close (c->stream);
+  forget (c);
+  return false;
+}
+
+static void
+on_input (void *arg)
+{
+  run_lines (arg);
+}
+
+static void
+on_closed (void *arg, err_t *e)
+{
+  (void)e;
+  forget (arg);
+}
+
+static const stream_ops_t ops = { NULL, on_input, on_closed };
+
+void
+dbconn_accept (void *arg, uint32_t events)
+{
+  db_t *d = arg;
+  int fd;
+
+  (void)events;
+  while ((fd = accept4 (d->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    {
+      if (!d->up)
+        {
+          close (fd);
+          continue;
+        }
+      dbconn_t *c = calloc (1, sizeof *c);
+      if (c == NULL)
+        abort ();
+      c->db = d;
+      c->serial = dbconn_serial ();
+      c->tx = 'I';
+      c->next = d->conns;
+      d->conns = c;
+      c->stream = stream_accept (d->service->world->loop, fd, &ops, c);
+    }
+}
+
+void
+dbconn_drop (db_t *d)
+{
+  for (dbconn_t *next, *c = d->conns; c; c = next)
+    {
+      next = c->next;
+      stream_close (c->stream);
+      forget (c);
+    }
+}
+
+/* Sends the answers that are due.  One that is lost ends its connection.  */
+void
+dbconn_answers (db_t *d, msec_t now)
+{
+  world_t *w = d->service->world;
+
+  for (dbconn_t *next, *c = d->conns; c; c = next)
+    {
+      next = c->next;
+      if (c->due == 0 || c->due > now)
+        continue;
+      c->due = 0;
+      if (d->lossy > now && chance (w, 8) == 0)
+        {
+          stream_close (c->stream);
+          forget (c);
+          continue;
+        }
+      buf_adds (stream_out (c->stream), buf_str (&c->answer));
+      buf_take (&c->answer, buf_len (&c->answer));
+      stream_flush (c->stream);
+      run_lines (c);
+    }
+}
--- /dev/null
+++ b/test/soak/dbconn.h
@@ -0,0 +1,37 @@
+/* A connection to a stand-in database.  */
+
+#ifndef SOAK_DBCONN_H
+#define SOAK_DBCONN_H
+
+#include "soak.h"
+
+typedef struct dbconn
+{
+  struct dbconn *next;
+  db_t *db;
+  int64_t serial;
+  stream_t *stream;
+  bool started;
+  char tx; /* I, T or E */
+  bool read_only;
+  int64_t tx_serial;
+  attempt_t *owner; /* of the transaction's statements */
+  int writes;       /* not yet committed */
+  char values[VALUES][NAME];
+  struct
+  {
+    char name[NAME];
+    char shape[NAME];
+  } prepared[PREPARED];
+  msec_t due; /* when the answer is sent; 0: nothing waits */
+  buf_t answer;
+} dbconn_t;
+
+/* dbconn_serial: a number that no other connection or transaction has.  */
+int64_t dbconn_serial (void);
+/* dbconn_query: runs the statement in LINE, checks it, and puts the answer
+   into C->answer; C->due tells when it is sent.  */
+void dbconn_query (dbconn_t *c, char *line);
+void dbconn_ready (dbconn_t *c);
+
+#endif
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -20,7 +20,9 @@
   CONTROLS = 3,
   ENTRIES_MAX = 48,
   SERVICES = 2,
-  DBS = 3, /* of each service */
+  DBS = 3,             /* of each service */
+  LEAVING_TIME = 7000, /* ms that a leaving database serves after its news */
+  LAG = 20,            /* ms that replicas are behind */
   VALUES = 2,
   PREPARED = 8,
   TERMS = 64,
@@ -222,6 +224,24 @@
 /* service_kept: the commit at POS is still in the log.  */
 bool service_kept (const service_t *s, at_t pos);
 db_t *service_primary (service_t *s);
+/* position.c */
+bool db_leads (const db_t *d);
+/* db_number: what D has received so far.  */
+int64_t db_number (db_t *d);
+/* db_commit: the number of a new commit.  */
+int64_t db_commit (db_t *d);
+/* position_holds: a log of TERM with NUMBER commits has what POS asks for;
+   commits that a promotion rolled back are not asked for.  */
+bool position_holds (const service_t *s, int64_t term, int64_t number,
+                     at_t pos);
+/* dbconn.c */
+/* dbconn_accept: a callback of the loop for the listening socket of D.  */
+void dbconn_accept (void *d, uint32_t events);
+/* dbconn_answers: sends the answers of D that are due.  */
+void dbconn_answers (db_t *d, msec_t now);
+/* dbconn_drop: closes all connections to D.  */
+void dbconn_drop (db_t *d);
+/* db.c */
 void db_crash (db_t *d, msec_t ms);
 void db_leave (db_t *d);
 void promoter_new (world_t *w);
