Split connecting off lib/entry/conn.c

Moves and two names made public; test_entry_pool and entry_process.sh pass. The soak notes statements that crossed the close of their session.

--- a/lib/entry/worker.h
+++ b/lib/entry/worker.h
@@ -435,8 +435,13 @@
 void send_phase (req_t *r);
 str_t request_unit (const req_t *r);
 
-/* conn.c */
+/* connect.c */
 conn_t *conn_open (dbpool_t *d, int slot);
+/* conn_go_on: an event of the socket of a connection that is being opened.  */
+void conn_go_on (conn_t *c);
+/* conn.c */
+/* conn_idle: C can be used by the next owner, or is closed.  */
+void conn_idle (conn_t *c, pool_after_t after);
 void conn_event (conn_t *c, uint32_t events);
 void conn_dirty (conn_t *c);
 void conn_flush (conn_t *c);
--- a/test/soak/client.c
+++ b/test/soak/client.c
@@ -465,6 +465,9 @@
 
   if (s->state == SESSION_ASKED)
     COUNT (s, lost);
+  if (crossed)
+    note (w, "%s crossed the close of %s, %lld ms after it was sent",
+          s->ask->id, p->name, (long long)(w->now - s->asked_at));
   if (s->state == SESSION_ASKED && !late && !crossed && !s->rude
       && calm (w, s->asked_at))
     finding (w, "LOST",
