Take over only from all that may hold synchronous commits

Change: control knows from the configuration how many replicas hold each acknowledged commit (n). With n > 0 it asks every other database, leaving ones too; fewer than all but n - 1 answers, or an answer that is ahead of the best one that stays, and it asks again. Without synchronous replicas nothing changes.

Stopping the replicas with PAUSE before the choice would also close the gap between the survey and the promotion while the primary still works (planned takeovers); it needs a way back that survives a change of the leader, and is not built.

Test: test_fleet synchronous_commits_are_kept (before: the first answer alone was chosen).

--- a/include/fleet.h
+++ b/include/fleet.h
@@ -77,7 +77,8 @@
 typedef enum
 {
   TAKE_NOTHING,
-  TAKE_SURVEY, /* ask every other database for its position */
+  TAKE_SURVEY, /* ask every other database, also a leaving one, for its
+                  position */
   TAKE_INTENT, /* record the intent to promote ID */
   TAKE_CALL    /* promote ID under TOKEN */
 } take_kind_t;
@@ -119,6 +120,8 @@
   msec_t none;     /* since when no primary is known, -1 */
   msec_t hold;     /* no takeover before this time */
   bool planned;
+  int64_t sync; /* replicas that hold each acknowledged commit, at least; set
+                   by the caller */
   survey_t survey[SITES];
   int nsurvey;
   int asked;
--- a/lib/cell/lead.c
+++ b/lib/cell/lead.c
@@ -68,6 +68,7 @@
   probes_tick (c);
   for (size_t i = 0; i < c->ntake; i++)
     {
+      c->take[i].sync = cell_sync_replicas (c, c->take[i].service);
       take_act_t a = takeover_tick (&c->take[i], &c->roster, c->now);
       carry_out (c, &c->take[i], &a);
     }
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -163,6 +163,8 @@
   /* The replicated state.  */
   int64_t version;
   buf_t setup;
+  apr_pool_t *plan_pool;
+  const setup_t *plan; /* SETUP, decoded */
   buf_t document;
   int64_t intents;
   pending_t pending[PENDING];
@@ -206,6 +208,7 @@
 extern const raft_ops_t cell_raft_ops;
 bool cell_step (cell_t *c, bool ok);
 bool cell_record (cell_t *c, const fleet_record_t *r, int64_t *index);
+int64_t cell_sync_replicas (const cell_t *c, const char *service);
 void roster_record (cell_t *c);
 void pending_review (cell_t *c);
 /* news.c */
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -66,6 +66,43 @@
   buf_adds (b, s);
 }
 
+static void
+decode_setup (cell_t *c)
+{
+  msgtype_t type = MSG_SETUP;
+  err_t e = { 0 };
+  char line[256];
+
+  if (c->plan_pool)
+    apr_pool_destroy (c->plan_pool);
+  c->plan_pool = NULL;
+  c->plan = NULL;
+  if (buf_len (&c->setup) == 0)
+    return;
+  apr_pool_create (&c->plan_pool, c->pool);
+  c->plan = rpc_decode (c->plan_pool, buf_str (&c->setup), &type, &e);
+  if (c->plan && type == MSG_SETUP)
+    return;
+  c->plan = NULL;
+  err_line (&e, line, sizeof line);
+  log_event (EV_RECORD_REFUSED, "version=%lld cause=%s", (long long)c->version,
+             line);
+}
+
+/* Replicas that have a commit of SERVICE before it is acknowledged.  */
+int64_t
+cell_sync_replicas (const cell_t *c, const char *service)
+{
+  for (size_t i = 0; c->plan && i < c->plan->services.n; i++)
+    {
+      const service_entry_t *v
+          = LIST_AT (c->plan->services, service_entry_t, i);
+      if (str_eq (v->name, str_of (service)))
+        return v->sync_replicas;
+    }
+  return 0;
+}
+
 static void
 take_setup (cell_t *c, int64_t version, str_t setup, str_t document)
 {
@@ -76,6 +113,7 @@
   c->version = version;
   put (&c->setup, setup);
   put (&c->document, document);
+  decode_setup (c);
 }
 
 static void
@@ -161,6 +199,7 @@
       c->intents = s->intents;
       put (&c->setup, s->setup);
       put (&c->document, s->document);
+      decode_setup (c);
       take_backends (c, &s->backends);
     }
   else
--- a/lib/fleet/takeover.c
+++ b/lib/fleet/takeover.c
@@ -138,15 +138,18 @@
   return now - t->fail >= limit && t->seen_ok < t->fail;
 }
 
+/* Databases beside the primary; one that leaves receives until it ends, but
+   cannot be chosen.  */
 static int
-candidates (const takeover_t *t, const roster_table_t *r, const server_t *p)
+replicas (const takeover_t *t, const roster_table_t *r, const server_t *p,
+          bool leaving)
 {
   int n = 0;
 
   for (size_t i = 0; i < r->n; i++)
     {
       const server_t *s = &r->at[i];
-      n += s != p && !s->gone && !s->leaving
+      n += s != p && !s->gone && (leaving || !s->leaving)
            && strcmp (s->service, t->service) == 0;
     }
   return n;
@@ -168,9 +171,9 @@
   t->planned = p && p->leaving;
   if (now < t->hold || !(t->planned || lost (t, p, now)))
     return act (t, TAKE_NOTHING);
-  t->asked = candidates (t, r, p);
-  if (t->asked == 0)
+  if (replicas (t, r, p, false) == 0)
     return act (t, TAKE_NOTHING);
+  t->asked = replicas (t, r, p, t->sync > 0);
   t->nsurvey = 0;
   enter (t, PHASE_SURVEY, now);
   return act (t, TAKE_SURVEY);
@@ -185,10 +188,29 @@
   return false;
 }
 
+/* The most advanced of those that answered and stay.  Where an acknowledged
+   commit is on SYNC replicas, it may be on those alone that did not answer:
+   then nobody can be chosen yet, nor while one that leaves is ahead.  */
+static const survey_t *
+choose (const takeover_t *t, const roster_table_t *r)
+{
+  const survey_t *best = NULL;
+
+  if (t->sync > 0 && t->nsurvey <= t->asked - t->sync)
+    return NULL;
+  for (int i = 0; i < t->nsurvey; i++)
+    if (alive (r, t->survey[i].id)
+        && (best == NULL || pos_cmp (t->survey[i].pos, best->pos) > 0))
+      best = &t->survey[i];
+  for (int i = 0; best && t->sync > 0 && i < t->nsurvey; i++)
+    if (pos_cmp (t->survey[i].pos, best->pos) > 0)
+      return NULL;
+  return best;
+}
+
 static take_act_t
 survey (takeover_t *t, const roster_table_t *r, const server_t *p, msec_t now)
 {
-  const survey_t *best = NULL;
 
   if (p && !p->leaving && !lost (t, p, now))
     {
@@ -197,13 +219,10 @@
     }
   if (t->nsurvey < t->asked && now - t->since < SURVEY_TIME)
     return act (t, TAKE_NOTHING);
-  for (int i = 0; i < t->nsurvey; i++)
-    if (alive (r, t->survey[i].id)
-        && (best == NULL || pos_cmp (t->survey[i].pos, best->pos) > 0))
-      best = &t->survey[i];
+  const survey_t *best = choose (t, r);
   if (best == NULL)
     {
-      /* Nobody answered: ask again.  */
+      /* Too few answered: ask again.  */
       enter (t, PHASE_WATCH, now);
       t->hold = now + PROBE_EVERY;
       return act (t, TAKE_NOTHING);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -340,6 +340,40 @@
 }
 END_TEST
 
+/* Guards against an acknowledged commit that is lost with a takeover: where
+   one replica has each of them, it may be the one that did not answer, or one
+   that leaves.  Found by hunts with a synchronous replica.  */
+START_TEST (synchronous_commits_are_kept)
+{
+  scene_t s;
+  backend_t b = beat ("b", "h:3", 1, 2);
+  err_t e = { 0 };
+
+  scene (&s);
+  s.t.sync = 1;
+  b.leaving = true;
+  roster_beat (&s.r, &b, s.now, &e);
+  silence (&s, LOST_SILENT);
+  ck_assert_int_eq (tick (&s).kind, TAKE_SURVEY);
+  takeover_position (&s.t, STR ("a"), (pos_t){ 1, 7 });
+  s.now += SURVEY_TIME;
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  s.now += PROBE_EVERY;
+  ck_assert_int_eq (tick (&s).kind, TAKE_SURVEY);
+  takeover_position (&s.t, STR ("a"), (pos_t){ 1, 7 });
+  takeover_position (&s.t, STR ("b"), (pos_t){ 1, 8 });
+  ck_assert_int_eq (tick (&s).kind, TAKE_NOTHING);
+  s.now += PROBE_EVERY;
+  ck_assert_int_eq (tick (&s).kind, TAKE_SURVEY);
+  takeover_position (&s.t, STR ("b"), (pos_t){ 1, 8 });
+  takeover_position (&s.t, STR ("a"), (pos_t){ 1, 8 });
+  take_act_t a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKE_INTENT);
+  ck_assert_str_eq (a.id, "a");
+  roster_free (&s.r);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -359,6 +393,7 @@
   tcase_add_test (t, survey_is_given_up_when_the_primary_answers);
   tcase_add_test (t, unanswered_call_is_made_again_as_it_was);
   tcase_add_test (t, leaving_primary_is_replaced);
+  tcase_add_test (t, synchronous_commits_are_kept);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
