Let an instance that is cut off from control look for the primary itself

What callers saw: after a promotion, an entry instance that had lost control refused what needs the leader with read-only until control was back, 5 s in the users' incident inc-3eed.

Cause: which database leads came only from control and from what it had led before. Once that one said that it does not lead, nothing was tried.

Change: without news of a led control instance for 1 s, the databases of the service are asked in turn. A plain BEGIN, or a write, succeeds only at the leader and has not run elsewhere, so a wrong guess costs a round trip; each is asked again after 150 ms at the earliest.

Test: test_proxy new_primary_is_found_without_control (failed before: no row).

--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -52,6 +52,23 @@
   return !d->gone && d->not_lead <= now && d->avoid <= now;
 }
 
+/* Nobody tells this instance of a new primary while it is cut off from
+   control.  It asks the others in turn: what needs the leader runs nowhere
+   else, so a wrong guess costs a round trip.  */
+static db_t *
+lead_guess (const service_t *s, msec_t now)
+{
+  db_t *best = NULL;
+
+  if (now - s->proxy->watch.led < CUT_CONTROL)
+    return NULL;
+  for (db_t *d = s->dbs; d; d = d->next)
+    if (!d->gone && !d->leaving && may_lead (d, now)
+        && (best == NULL || d->not_lead < best->not_lead))
+      best = d;
+  return best;
+}
+
 db_t *
 lead_pick (service_t *s, msec_t now)
 {
@@ -63,7 +80,7 @@
     if (d->primary && may_lead (d, now)
         && (best == NULL || d->leaving < best->leaving))
       best = d;
-  return best;
+  return best ? best : lead_guess (s, now);
 }
 
 void
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -44,6 +44,30 @@
 }
 END_TEST
 
+/* Guards against a service without a primary, for as long as this instance is
+   cut off from control, after another database was promoted.  Found by an
+   incident of the users (inc-3eed).  */
+START_TEST (new_primary_is_found_without_control)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = stage_start (s, "lead");
+
+  ASK (c, "QUERY r1 READ 7\r\n", "READY I");
+  s->control_mute[0] = s->control_mute[1] = true;
+  stage_run (s, 1500, NULL, NULL);
+  s->db[0].primary = false;
+  s->db[1].primary = true;
+  s->db[1].term = 2;
+  ASK (c, "QUERY r2 READ 7\r\n", "READY I");
+  ck_assert_ptr_nonnull (strstr (c->got, "ROW db1"));
+  ASK (c, "QUERY w1 WRITE 7 abc\r\n", "READY I");
+  ck_assert_ptr_nonnull (strstr (c->got, "COMPLETE sig-db1"));
+  ck_assert_int_eq (stage_saw (&s->db[0], "r2 READ"), 0);
+  ck_assert_int_eq (stage_saw (&s->db[2], "r2 READ"), 0);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against reads that may be old being served without a position, and
    against a replica that lacks it being believed.  */
 START_TEST (read_of_replica_names_a_position)
@@ -515,6 +539,7 @@
   tcase_set_timeout (t, 30);
   tcase_add_test (t, read_of_primary_is_proven);
   tcase_add_test (t, old_primary_runs_no_read);
+  tcase_add_test (t, new_primary_is_found_without_control);
   tcase_add_test (t, read_of_replica_names_a_position);
   tcase_add_test (t, session_sees_its_write);
   tcase_add_test (t, lost_answer_of_write_is_in_doubt);
