Leave the clients when the primary within reach has been replaced

Cause: an instance counts as cut off when it has lost control for 1 s and a primary does not answer for 0.3 s. This one answered: that it does not lead.

Change: a service whose last leader said so, with none found for 0.3 s, counts as one whose primary is lost. The instance reports not ready, lets its sessions go, and refuses at once what only the leader could serve. Without the loss of control nothing changes: the news name the new primary.

Test: test_proxy cut_off_with_a_replaced_primary_is_not_ready; fails without the change in health.c, and with control in touch the instance stays ready.

--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -87,6 +87,7 @@
 lead_learned (service_t *s, db_t *d)
 {
   d->not_lead = 0;
+  s->leaderless = 0;
   if (s->leader == d)
     return;
   log_event (EV_LEADER, "service=%s database=%s before=%s", s->name, d->id,
@@ -98,8 +99,10 @@
 lead_refused (service_t *s, db_t *d, msec_t now)
 {
   d->not_lead = now + LEAD_RETRY;
-  if (s->leader == d)
-    s->leader = NULL;
+  if (s->leader != d)
+    return;
+  s->leader = NULL;
+  s->leaderless = now;
 }
 
 void
--- a/lib/proxy/health.c
+++ b/lib/proxy/health.c
@@ -8,6 +8,9 @@
 
   if (s->dbs == NULL)
     return false;
+  /* It was replaced, and none that can be reached leads.  */
+  if (s->leader == NULL && s->leaderless && now - s->leaderless >= CUT_LEADER)
+    return true;
   if (d == NULL)
     for (d = s->dbs; d && !d->primary;)
       d = d->next;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -158,6 +158,8 @@
   int64_t owners_number; /* of the endpoints that they were picked from */
   db_t *dbs;
   db_t *leader;
+  msec_t
+      leaderless; /* since the last one said that it does not lead, 0: not */
   marks_t marks;
   session_t *waiting; /* oldest first */
 };
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -530,6 +530,26 @@
 }
 END_TEST
 
+/* Guards against clients that stay with an instance that is cut off from
+   control together with a primary that has been replaced: it answers, and
+   leads no more.  Found by an incident of the users (inc-3eed).  */
+START_TEST (cut_off_with_a_replaced_primary_is_not_ready)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = stage_start (s, "own");
+
+  ASK (c, "QUERY w0 WRITE 7 abc\r\n", "READY I");
+  s->db[0].primary = false;
+  stage_ask (c, "QUERY w1 WRITE 7 abc\r\n", "READY I");
+  ck_assert (!stage_run (s, 1500, not_ready, s));
+  s->control_mute[0] = s->control_mute[1] = true;
+  ck_assert (stage_run (s, 3000, not_ready, s));
+  s->control_mute[0] = s->control_mute[1] = false;
+  ck_assert (stage_run (s, 3000, ready_again, s));
+  stage_free (s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -563,6 +583,7 @@
   tcase_add_test (t, leaving_database_gets_no_work);
   tcase_add_test (t, stop_lets_a_transaction_end);
   tcase_add_test (t, cut_off_instance_is_not_ready);
+  tcase_add_test (t, cut_off_with_a_replaced_primary_is_not_ready);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
