Check that the build stays in target and on the machine

The packages check read off the system calls what the build uses; the same trace now shows files that it makes outside of target, and connections to other machines.

--- a/test/packages.sh
+++ b/test/packages.sh
@@ -52,7 +52,7 @@
   [ -z "$3" ] || grep -q "$3" "$W/$1.said" || { fail "$1: does not name $3"; cat "$W/$1.said"; }
 }
 
-tree plain 'gcc -o main main.c'
+tree plain 'mkdir -p target && gcc -o target/main main.c'
 expect plain pass ''
 
 # The fault of the incident: the tests' library is asked for in the build.
@@ -73,6 +73,13 @@
 tree library 'gcc -o main main.c -lpq'
 expect library fail 'libpq'
 
+# The build puts all that it makes under target, and downloads nothing.
+tree stray 'mkdir -p target && gcc -c -o target/main.o main.c && gcc -c -o main.o main.c'
+expect stray fail 'outside of target: main.o'
+
+tree download 'perl -MSocket -e "socket (S, PF_INET, SOCK_DGRAM, 0); connect (S, sockaddr_in (53, inet_aton (q(127.0.0.1))))"'
+expect download fail 'connects to "127.0.0.1"'
+
 # The machine decides which awk this is.
 tree alternative 'awk "BEGIN { exit 0 }" /dev/null'
 expect alternative fail '/usr/bin/awk'
