Guess no primary once the instance counts as cut off

What needs the leader is refused at once by an instance that is cut off, so that its client tries another.

--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -54,13 +54,14 @@
 
 /* Nobody tells this instance of a new primary while it is cut off from
    control.  It asks the others in turn: what needs the leader runs nowhere
-   else, so a wrong guess costs a round trip.  */
+   else, so a wrong guess costs a round trip.  Once it counts as cut off, what
+   needs the leader is refused at once.  */
 static db_t *
 lead_guess (const service_t *s, msec_t now)
 {
   db_t *best = NULL;
 
-  if (now - s->proxy->watch.led < CUT_CONTROL)
+  if (now - s->proxy->watch.led < CUT_CONTROL || s->proxy->cut_at >= 0)
     return NULL;
   for (db_t *d = s->dbs; d; d = d->next)
     if (!d->gone && !d->leaving && may_lead (d, now)
