Close the sessions of a planned stop with their answer

A client that sends one statement right after the other, each of which takes long, can be passed over until the process ends, and what is under way then is cut.

Test: test_proxy stop_closes_a_session_after_its_answer (before: session 0 is open).

--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -41,8 +41,8 @@
   OWNER_LOST = 2000, /* ms that the loss of an owner counts as a sign of it */
   NOT_READY_TIME = 2200, /* ms after SIGTERM until sessions are closed; the
                             balancer needs two probes a second apart */
-  CLOSE_BATCH = 12,      /* sessions closed in one turn of a planned stop */
-  CLOSE_EVERY = 25,      /* ms between such turns */
+  CLOSE_BATCH = 12,      /* sessions closed at a time by a planned stop */
+  CLOSE_EVERY = 25,      /* ms between such batches */
   STOP_MARGIN = 400      /* ms before the end of the grace period */
 };
 
@@ -287,8 +287,9 @@
   msec_t started;
   session_t *sessions;
   int nsession;
-  int closing; /* sessions that may still be closed in this turn */
-  int entries; /* entry instances that share the databases; 0: unknown */
+  int closing; /* sessions that may still be closed before the next batch */
+  msec_t close_at; /* start of the present batch */
+  int entries;     /* entry instances that share the databases; 0: unknown */
   int peer_listener;
   endpoint_entry_t *endpoint; /* instances of the own zone */
   size_t nendpoint;
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -362,6 +362,13 @@
   return s->req.active || (s->forward && s->forward->active);
 }
 
+/* Between two transactions, at an instance whose sessions are to go.  */
+static bool
+may_go (const session_t *s)
+{
+  return s->tx == TX_NONE && health_leaving (s->proxy, s->proxy->now);
+}
+
 static void
 advance (session_t *s)
 {
@@ -391,7 +398,10 @@
       log_event (EV_CLIENT_MALFORMED, "started=%d", s->started);
       p->conf.client->error (out (s), FAIL_MALFORMED, STR ("not a message"));
       session_end (s);
+      return;
     }
+  if (!is_busy (s) && may_go (s))
+    wake_at (p, p->now);
 }
 
 void
@@ -406,10 +416,14 @@
 void
 session_next (session_t *s)
 {
-  s->seen = s->proxy->now;
-  /* What the client has sent meanwhile is taken at the end of the turn.  */
-  if (buf_len (stream_in (s->stream)))
-    wake_at (s->proxy, s->proxy->now);
+  proxy_t *p = s->proxy;
+
+  s->seen = p->now;
+  /* What the client has sent meanwhile is taken at the end of the turn.  A
+     session that is to go elsewhere is closed then, before its client sends
+     the next statement.  */
+  if (buf_len (stream_in (s->stream)) || may_go (s))
+    wake_at (p, p->now);
 }
 
 /* ---- time ---- */
@@ -473,11 +487,16 @@
       session_end (s);
       return;
     }
-  if (p->closing > 0 && s->tx == TX_NONE && stream_quiet (s->stream))
+  if (p->closing == 0 || s->tx != TX_NONE || !stream_quiet (s->stream))
+    return;
+  /* What is closed now would lose what its client has not taken yet.  */
+  if (buf_len (stream_out (s->stream)))
     {
-      p->closing--;
-      session_end (s);
+      wake_at (p, now + 1);
+      return;
     }
+  p->closing--;
+  session_end (s);
 }
 
 void
@@ -486,7 +505,13 @@
   session_t *next;
 
   /* Their clients come back elsewhere, so not all at once.  */
-  p->closing = health_leaving (p, now) ? CLOSE_BATCH : 0;
+  if (!health_leaving (p, now))
+    p->closing = 0;
+  else if (now - p->close_at >= CLOSE_EVERY)
+    {
+      p->closing = CLOSE_BATCH;
+      p->close_at = now;
+    }
   for (session_t *s = p->sessions; s; s = next)
     {
       next = s->next;
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -2,7 +2,6 @@
 
 #include <apr_general.h>
 #include <argp.h>
-#include <execinfo.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,7 +18,6 @@
   TICK = 2,          /* ms */
   START = 4000,      /* ms until faults begin */
   QUIET = 16000,     /* ms without unplanned faults at the end */
-  FRAMES = 32,
   SERVED = 90 /* percent of the operations that end in the last seconds */
 };
 
@@ -161,17 +159,6 @@
   stopped = 1;
 }
 
-/* A crash of this program is a finding too: says where it came from.  */
-static void
-on_crash (int sig)
-{
-  void *frame[FRAMES];
-
-  backtrace_symbols_fd (frame, backtrace (frame, FRAMES), STDERR_FILENO);
-  signal (sig, SIG_DFL);
-  raise (sig);
-}
-
 static msec_t
 turn (void *arg, msec_t now)
 {
@@ -351,9 +338,7 @@
   signal (SIGPIPE, SIG_IGN);
   signal (SIGINT, on_stop);
   signal (SIGTERM, on_stop);
-  signal (SIGSEGV, on_crash);
-  signal (SIGBUS, on_crash);
-  signal (SIGABRT, on_crash);
+  crash_watch ();
   signal (SIGXFSZ, SIG_IGN); /* inherited: a full disk is an error */
   apr_initialize ();
   argp_parse (&argp, argc, argv, 0, NULL, &a);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -235,8 +235,9 @@
 bool position_holds (const service_t *s, int64_t term, int64_t number,
                      at_t pos);
 /* dbconn.c */
-/* dbconn_accept: a callback of the loop for the listening socket of D.  */
-void dbconn_accept (void *d, uint32_t events);
+/* dbconn_accept: a callback of the loop for the listening socket of the
+   database ARG.  */
+void dbconn_accept (void *arg, uint32_t events);
 /* dbconn_answers: sends the answers of D that are due.  */
 void dbconn_answers (db_t *d, msec_t now);
 /* dbconn_drop: closes all connections to D.  */
@@ -327,4 +328,7 @@
 /* copy: as much of TEXT as fits.  */
 void copy (char *out, size_t size, const char *text);
 
+/* crash_watch: a crash of the soak itself says where it came from.  */
+void crash_watch (void);
+
 #endif
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -510,6 +510,37 @@
   return proxy_ready (((stage_t *)arg)->proxy);
 }
 
+/* Guards against a session that sends one statement after the other and is
+   still open, with one under way, when the process has to end.  */
+START_TEST (stop_closes_a_session_after_its_answer)
+{
+  enum
+  {
+    CLIENTS = 10,
+    PROMPT = 8 /* ms, a third of the time between sweeps */
+  };
+  stage_t *s = stage_new (true);
+  stage_client_t *c[CLIENTS];
+
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      c[i] = stage_start (s, "own");
+      ASK (c[i], "QUERY b BEGIN\r\n", "READY T");
+    }
+  proxy_stop (s->proxy);
+  stage_run (s, NOT_READY_TIME + 100, NULL, NULL);
+  /* The loop ends with the last session.  */
+  for (int i = 0; i < CLIENTS - 1; i++)
+    {
+      ck_assert (!c[i]->closed);
+      ASK (c[i], "QUERY e ROLLBACK\r\n", "READY I");
+      stage_run (s, PROMPT, NULL, NULL);
+      ck_assert_msg (c[i]->closed, "session %d is open", i);
+    }
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against clients that stay in a zone that is cut off, and against an
    instance that leaves for the loss of control or a primary alone.  */
 START_TEST (cut_off_instance_is_not_ready)
@@ -582,6 +613,7 @@
   tcase_add_test (t, watch_prefers_the_own_zone);
   tcase_add_test (t, leaving_database_gets_no_work);
   tcase_add_test (t, stop_lets_a_transaction_end);
+  tcase_add_test (t, stop_closes_a_session_after_its_answer);
   tcase_add_test (t, cut_off_instance_is_not_ready);
   tcase_add_test (t, cut_off_with_a_replaced_primary_is_not_ready);
   suite_add_tcase (s, t);
