--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -431,11 +431,16 @@
 /* session_again: M, which came before, is run here.  */
 void session_again (session_t *s, client_msg_t *m);
 void session_input (void *arg);
+/* session_advance: takes what the client has sent, until a statement is under
+   way.  */
+void session_advance (session_t *s);
 /* session_next: the statement is answered; takes the next one.  */
 void session_next (session_t *s);
 void session_end (session_t *s);
 void session_ok (session_t *s);
 void session_tx_end (session_t *s);
+
+/* sweep.c */
 void sessions_sweep (proxy_t *p, msec_t now);
 
 /* metrics.c */
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -369,8 +369,8 @@
   return s->tx == TX_NONE && health_leaving (s->proxy, s->proxy->now);
 }
 
-static void
-advance (session_t *s)
+void
+session_advance (session_t *s)
 {
   proxy_t *p = s->proxy;
   client_msg_t m;
@@ -410,7 +410,7 @@
   session_t *s = arg;
 
   s->proxy->now = loop_now (s->proxy->loop);
-  advance (s);
+  session_advance (s);
 }
 
 void
@@ -425,98 +425,3 @@
   if (buf_len (stream_in (s->stream)) || may_go (s))
     wake_at (p, p->now);
 }
-
-/* ---- time ---- */
-
-static bool
-idle_too_long (const session_t *s, msec_t now)
-{
-  const proxy_t *p = s->proxy;
-  msec_t limit = p->setup ? p->setup->tx_idle : 0;
-
-  return s->tx == TX_OPEN && s->link && !s->req.active && limit > 0
-         && now - s->seen >= limit;
-}
-
-static void
-sweep_one (session_t *s, msec_t now)
-{
-  proxy_t *p = s->proxy;
-
-  if (!s->started && now - s->opened >= p->conf.startup)
-    {
-      log_event (EV_STARTUP_TIMEOUT, "ms=%lld", (long long)(now - s->opened));
-      p->conf.client->error (out (s), FAIL_TIMEOUT,
-                             STR ("no start-up message in time"));
-      session_end (s);
-      return;
-    }
-  if (p->setup == NULL && now - s->opened >= SETUP_WAIT)
-    {
-      p->conf.client->error (out (s), FAIL_BUSY, STR ("no configuration yet"));
-      session_end (s);
-      return;
-    }
-  if (s->forward)
-    {
-      bool active = s->forward->active;
-      forward_expire (s, now);
-      if (active)
-        return;
-    }
-  if (idle_too_long (s, now))
-    {
-      link_t *k = s->link;
-      log_event (EV_TX_IDLE, "host=%s ms=%lld", s->host,
-                 (long long)(now - s->seen));
-      s->tx_lost = true;
-      link_release (p, k);
-    }
-  if (s->req.active)
-    {
-      statement_expire (s, now);
-      return;
-    }
-  if (buf_len (stream_in (s->stream)))
-    {
-      advance (s);
-      return;
-    }
-  if (s->fellow && p->cut_at >= 0 && s->tx == TX_NONE)
-    {
-      session_end (s);
-      return;
-    }
-  if (p->closing == 0 || s->tx != TX_NONE || !stream_quiet (s->stream))
-    return;
-  /* What is closed now would lose what its client has not taken yet.  */
-  if (buf_len (stream_out (s->stream)))
-    {
-      wake_at (p, now + 1);
-      return;
-    }
-  p->closing--;
-  session_end (s);
-}
-
-void
-sessions_sweep (proxy_t *p, msec_t now)
-{
-  session_t *next;
-
-  /* Their clients come back elsewhere, so not all at once.  */
-  if (!health_leaving (p, now))
-    p->closing = 0;
-  else if (now - p->close_at >= CLOSE_EVERY)
-    {
-      p->closing = CLOSE_BATCH;
-      p->close_at = now;
-    }
-  for (session_t *s = p->sessions; s; s = next)
-    {
-      next = s->next;
-      sweep_one (s, now);
-    }
-  if (health_leaving (p, now) && p->sessions)
-    wake_at (p, now + CLOSE_EVERY);
-}
