--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -216,9 +216,11 @@
       STR ("{\"node-name\":\"n\",\"ip\":\"10.0.0.1\",\"zone\":\"z\","
            "\"internal-ports\":[7440,7455],\"seeds\":[\"10.0.0.2:8782\"],"
            "\"listen\":{\"front\":\"10.0.0.1:80\"},\"bootstrap\":true,"
+           "\"fault-tolerance\":{\"machines\":2,\"zones\":1},"
            "\"bounds\":{\"grace-s\":6},\"later\":{}}"),
       &e);
   ck_assert_ptr_nonnull (s);
+  ck_assert_int_eq (s->losses, 2);
   ck_assert (str_eq (s->rpc, STR ("10.0.0.1:7440")));
   ck_assert (str_eq (s->seeds[0], STR ("10.0.0.2:7440")));
   ck_assert (s->first && s->grace == 6000);
@@ -229,6 +231,7 @@
                               "\"internal-ports\":[7440,7455]}"),
                          &e);
   ck_assert_ptr_nonnull (s);
+  ck_assert_int_eq (s->losses, 0);
   ck_assert (str_eq (s->rpc, STR ("10.0.0.1:7440")));
   ck_assert (str_eq (s->rpc_listen, STR ("10.0.0.9:7440")));
 }
