Let the test of the connection limit hold its connections first

Cause, in the test: three clients are started at once to fill the limit, and another one asks at the same moment whether it is refused. When that one connects before the third, the third is the one that is refused and ends, and a place stays free for the rest of the 2 s. Shown by the old test with a short client put between the second and the third: "too many clients" stands in hold3.log, and the test fails the same way.

Change: each client says that it holds its connection before the next one is started, and the test fails if one does not; the bound of 2 s and the check are as before.

--- a/test/dbsim.sh
+++ b/test/dbsim.sh
@@ -37,9 +37,12 @@
 expect $A "duplicate key" "INSERT INTO t(id, val) VALUES ('lock', '2')"
 
 # Three connections are kept for control.
-spawn hold1 psql -X -q "host=127.0.0.1 port=$A user=u dbname=x" -c "SELECT pg_sleep(3)"
-spawn hold2 psql -X -q "host=127.0.0.1 port=$A user=u dbname=x" -c "SELECT pg_sleep(3)"
-spawn hold3 psql -X -q "host=127.0.0.1 port=$A user=u dbname=x" -c "SELECT pg_sleep(3)"
+# Each holds its connection before the next one asks: one that came too late
+# would itself be refused, and leave room.
+for i in 1 2 3; do
+  spawn hold$i psql -X -q -At "host=127.0.0.1 port=$A user=u dbname=x" -c "SELECT 'held'" -c "SELECT pg_sleep(3)"
+  until_true 2 grep -q held "$W/hold$i.log" || fail "connection $i was not held"
+done
 full () { psql -X -q "host=127.0.0.1 port=$A user=u dbname=x" -c "SELECT 1" 2>&1 | grep -q "too many clients"; }
 until_true 2 full || fail "no connection was refused"
 expect $A "primary" "SELECT * FROM pimentopost_status()"
