--- a/include/fleet.h
+++ b/include/fleet.h
@@ -15,6 +15,7 @@
   ROSTER_TIMEOUT = 60000,    /* ms without heartbeat; then deregistered */
   ROSTER_RETENTION = 120000, /* ms that a deregistered one is kept, to refuse
                                 late heartbeats of the same start */
+  SEQ_JUMP_MAX = 1000000,    /* heartbeats that may be missed in a row */
   FLEET_NAME_SIZE = 64       /* bytes, with the NUL */
 };
 
@@ -42,6 +43,8 @@
   size_t n;
   size_t cap;
   int64_t revision; /* grows with each change that others have to receive */
+  uint32_t *index;  /* hash of the id to 1 + its place in AT; 0: free */
+  size_t nindex;    /* a power of two */
 } roster_table_t;
 
 /* roster_heartbeat: enters the heartbeat B, received B->age ms ago.  False
@@ -53,7 +56,7 @@
 /* roster_expire: deregisters servers without a recent heartbeat, deletes those
    that were deregistered long ago.  */
 void roster_expire (roster_table_t *r, msec_t now);
-server_t *roster_find (roster_table_t *r, str_t id);
+server_t *roster_find (const roster_table_t *r, str_t id);
 /* roster_list: the entries that changed after REVISION (-1: all) to OUT, views
    into R; returns how many.  */
 size_t roster_list (const roster_table_t *r, int64_t revision, msec_t now,
@@ -115,6 +118,9 @@
 {
   char service[FLEET_NAME_SIZE];
   char primary[FLEET_NAME_SIZE]; /* "" while none is known */
+  int64_t roster_revision;       /* of the roster that PRIMARY was taken from,
+                                    -1: none */
+  bool has_primary;              /* that roster lists PRIMARY as such */
   phase_t phase;
   msec_t phase_since;
   msec_t probe_ok_at;      /* last successful probe of the primary, -1: none */
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -425,6 +425,7 @@
 {
   str_t address;
   str_t zone;
+  bool gone; /* removed, in a list of changes */
 } endpoint_t;
 
 /* What a control instance knows of backend servers and entry instances, sent
@@ -460,6 +461,8 @@
   list_t reachability; /* reachability_t */
   str_t address;       /* endpoint for forwarded statements; may be empty */
   str_t zone;
+  bool takes_changes; /* the sender merges changes of endpoints; an instance of
+                         an older build needs the whole list each time */
 } watch_t;
 
 /* Reply to a watch_t; also sent unasked after a change.  */
@@ -478,7 +481,10 @@
   list_t control;  /* member_t: control instances; empty: unchanged */
   int64_t entries; /* entry instances that share the databases */
   bool has_endpoints;
-  list_t endpoints; /* endpoint_t: those of the receiver's zone */
+  list_t endpoints;      /* endpoint_t: those of the receiver's zone */
+  bool endpoint_changes; /* ENDPOINTS are changes, not the whole list */
+  int64_t retry_after;   /* ms: the sender is busy and left out the roster and
+                            the configuration; ask again then; 0: complete */
 } watch_update_t;
 
 typedef enum
@@ -508,6 +514,21 @@
   list_t backends; /* backend_t */
 } fleet_state_t;
 
+/* ---- checks of records that others write ---- */
+
+#define BORN_MAX INT64_C (9999999999999) /* ms since 1970, of the year 2286   \
+                                          */
+#define SEQ_MAX (INT64_C (1) << 53)      /* exact in every JSON reader */
+
+/* backend_check: whether B can be used: names, address with a port, and
+   numbers within their bounds.  ERR_RANGE with the field.  Wherever a record
+   comes from (heartbeat, log, snapshot, another instance), one that fails is
+   left out and the others are used.  */
+bool backend_check (const backend_t *b, err_t *e);
+/* setup_bound: limits the numbers of a valid configuration to what the program
+   can represent; returns how many it changed.  */
+int setup_bound (setup_t *s);
+
 /* ---- codec ---- */
 
 /* rpc_encode: appends message MSG of TYPE to OUT as a frame.  */
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -27,9 +27,21 @@
   c->loop = l;
   c->conf = *conf;
   c->now = c->started = loop_now (l);
-  c->recorded_revision = -1;
+  c->recorded_revision = c->probed_revision = -1;
   c->boot = (int64_t)(rng_system_seed () >> 1);
   rng_init (&c->rng, rng_system_seed ());
+  c->endpoints.by_address = apr_hash_make (pool);
+  c->sent_bytes = counter_get ("pimentopost_control_update_bytes_total",
+                               "Bytes of updates sent to entry instances.");
+  c->sent_updates = counter_get ("pimentopost_control_updates_total",
+                                 "Updates sent to entry instances.");
+  c->refused = counter_get (
+      "pimentopost_backend_refused_total",
+      "Records of backend servers that can't be used and were left out.");
+  c->deferred = counter_get (
+      "pimentopost_control_deferred_total",
+      "Reports of entry instances that were answered without the roster,"
+      " because many asked for all of it at once.");
   buf_init (&c->setup);
   buf_init (&c->document);
   cell_set_seeds (c, conf->seeds, conf->nseeds);
@@ -65,19 +77,17 @@
   if (!roster_heartbeat (&c->roster, b, c->now, &inner)
       && inner.code != ERR_STALE)
     {
+      roster_refused (c, b, "heartbeat", &inner);
       if (e)
         *e = inner;
       return CELL_INVALID;
     }
   if (c->roster.revision != old_revision)
-    {
-      log_event (EV_BACKEND,
-                 "database=" STR_FMT " service=" STR_FMT
-                 " primary=%d leaving=%d gone=%d seq=%lld",
-                 STR_ARG (b->id), STR_ARG (b->service), b->primary, b->leaving,
-                 b->gone, (long long)b->seq);
-      update_broadcast (c);
-    }
+    log_event (EV_BACKEND,
+               "database=" STR_FMT " service=" STR_FMT
+               " primary=%d leaving=%d gone=%d seq=%lld",
+               STR_ARG (b->id), STR_ARG (b->service), b->primary, b->leaving,
+               b->gone, (long long)b->seq);
   return CELL_OK;
 }
 
@@ -100,6 +110,7 @@
   if (now - c->ticked_at >= TICK_INTERVAL)
     {
       c->ticked_at = now;
+      c->full_quota = FULL_PER_TICK;
       cell_check (c, raft_tick (c->raft, now, &c->err));
       leave_tick (c);
       join_tick (c);
--- a/lib/cell/endpoint.c
+++ b/lib/cell/endpoint.c
@@ -9,40 +9,86 @@
    another control instance stays listed.  */
 
 static cell_endpoint_t *
-find (cell_t *c, str_t address)
+find (const cell_t *c, str_t address)
 {
-  for (size_t i = 0; i < c->nendpoint; i++)
-    if (str_eq (str_of (c->endpoint[i].address), address))
-      return &c->endpoint[i];
-  return NULL;
+  return apr_hash_get (c->endpoints.by_address, address.p,
+                       (apr_ssize_t)address.n);
+}
+
+static void
+unlink_endpoint (endpoint_table_t *t, cell_endpoint_t *x)
+{
+  if (x->prev)
+    x->prev->next = x->next;
+  else if (t->newest == x)
+    t->newest = x->next;
+  if (x->next)
+    x->next->prev = x->prev;
+  else if (t->oldest == x)
+    t->oldest = x->prev;
+  x->next = x->prev = NULL;
+}
+
+static void
+mark_changed (endpoint_table_t *t, cell_endpoint_t *x)
+{
+  unlink_endpoint (t, x);
+  x->changed = ++t->revision;
+  x->next = t->newest;
+  if (t->newest)
+    t->newest->prev = x;
+  t->newest = x;
+  if (t->oldest == NULL)
+    t->oldest = x;
 }
 
 static cell_endpoint_t *
-add (cell_t *c, str_t address, str_t zone)
+create (endpoint_table_t *t, str_t address)
 {
-  if (c->nendpoint == c->endpoint_cap)
-    {
-      c->endpoint_cap = c->endpoint_cap ? c->endpoint_cap * 2 : 32;
-      c->endpoint
-          = realloc (c->endpoint, c->endpoint_cap * sizeof *c->endpoint);
-      if (c->endpoint == NULL)
-        abort ();
-    }
-  cell_endpoint_t *x = &c->endpoint[c->nendpoint++];
-  *x = (cell_endpoint_t){ .direct = false };
+  cell_endpoint_t *x = calloc (1, sizeof *x);
+
+  if (x == NULL)
+    abort ();
   snprintf (x->address, sizeof x->address, STR_FMT, STR_ARG (address));
+  apr_hash_set (t->by_address, x->address, (apr_ssize_t)strlen (x->address),
+                x);
+  t->n++;
+  return x;
+}
+
+static cell_endpoint_t *
+add (cell_t *c, str_t address, str_t zone)
+{
+  endpoint_table_t *t = &c->endpoints;
+  cell_endpoint_t *x = find (c, address);
+
+  if (x && !x->gone)
+    return x;
+  if (address.n >= sizeof x->address || zone.n >= sizeof x->zone)
+    return NULL;
+  if (x == NULL)
+    x = create (t, address);
+  x->gone = x->direct = false;
   snprintf (x->zone, sizeof x->zone, STR_FMT, STR_ARG (zone));
-  c->endpoints_revision++;
+  mark_changed (t, x);
   return x;
 }
 
+static void
+set_direct (cell_t *c, cell_endpoint_t *x, bool direct)
+{
+  if (x->direct != direct)
+    c->endpoints.direct_revision++;
+  x->direct = direct;
+}
+
 static void
 drop (cell_t *c, cell_endpoint_t *x)
 {
-  if (x->direct)
-    c->direct_endpoints_revision++;
-  c->endpoints_revision++;
-  *x = c->endpoint[--c->nendpoint];
+  set_direct (c, x, false);
+  x->gone = true;
+  x->reported_at = c->now;
+  mark_changed (&c->endpoints, x);
 }
 
 void
@@ -50,75 +96,99 @@
 {
   cell_endpoint_t *x = find (c, str_of (r->endpoint));
 
-  if (x && !str_eq (str_of (r->endpoint), m->address))
+  if (x && !x->gone && !str_eq (str_of (r->endpoint), m->address))
     drop (c, x);
   snprintf (r->endpoint, sizeof r->endpoint, STR_FMT, STR_ARG (m->address));
   snprintf (r->zone, sizeof r->zone, STR_FMT, STR_ARG (m->zone));
-  if (m->address.n == 0)
+  r->takes_changes = m->takes_changes;
+  if (m->address.n == 0 || (x = add (c, m->address, m->zone)) == NULL)
     return;
-  x = find (c, m->address);
-  if (x == NULL)
-    x = add (c, m->address, m->zone);
-  if (!x->direct)
-    c->direct_endpoints_revision++;
-  x->direct = true;
+  set_direct (c, x, true);
   x->reported_at = c->now;
 }
 
 /* Endpoints that M->from listed before and does not list any more may have
    moved to another control instance, whose report follows soon: they are
    dropped after ENDPOINT_MAX_AGE only.  */
+static void
+shorten_age (cell_t *c, str_t from)
+{
+  msec_t limit = c->now - PEER_REPORT_MAX_AGE + ENDPOINT_MAX_AGE;
+
+  for (cell_endpoint_t *x = c->endpoints.newest; x; x = x->next)
+    if (!x->gone && !x->direct && str_eq (str_of (x->reporter), from)
+        && x->reported_at > limit)
+      x->reported_at = limit;
+}
+
 void
 endpoint_merge (cell_t *c, const roster_t *m)
 {
   if (!m->has_endpoints)
     return;
-  for (size_t i = 0; i < c->nendpoint; i++)
-    if (!c->endpoint[i].direct
-        && str_eq (str_of (c->endpoint[i].reporter), m->from)
-        && c->endpoint[i].reported_at
-               > c->now - PEER_REPORT_MAX_AGE + ENDPOINT_MAX_AGE)
-      c->endpoint[i].reported_at
-          = c->now - PEER_REPORT_MAX_AGE + ENDPOINT_MAX_AGE;
+  shorten_age (c, m->from);
   for (size_t i = 0; i < m->endpoints.n; i++)
     {
       const endpoint_t *n = LIST_AT (m->endpoints, endpoint_t, i);
-      cell_endpoint_t *x = find (c, n->address);
-      if (x == NULL)
-        x = add (c, n->address, n->zone);
-      if (x->direct && c->now - x->reported_at < ENTRY_REPORT_GAP)
+      cell_endpoint_t *x = add (c, n->address, n->zone);
+      if (x == NULL
+          || (x->direct && c->now - x->reported_at < ENTRY_REPORT_GAP))
         continue;
-      if (x->direct)
-        c->direct_endpoints_revision++;
-      x->direct = false;
+      set_direct (c, x, false);
       x->reported_at = c->now;
       snprintf (x->reporter, sizeof x->reporter, STR_FMT, STR_ARG (m->from));
     }
 }
 
+/* Deletes X, whose removal is old.  Who has not received it gets the whole
+   list.  */
+static void
+forget (endpoint_table_t *t, cell_endpoint_t *x)
+{
+  if (x->changed > t->forgotten)
+    t->forgotten = x->changed;
+  apr_hash_set (t->by_address, x->address, (apr_ssize_t)strlen (x->address),
+                NULL);
+  unlink_endpoint (t, x);
+  t->n--;
+  free (x);
+}
+
 void
 endpoint_expire (cell_t *c)
 {
-  for (size_t i = 0; i < c->nendpoint;)
+  endpoint_table_t *t = &c->endpoints;
+  cell_endpoint_t *next;
+
+  if (c->now - t->expired_at < ENDPOINT_EXPIRE_INTERVAL)
+    return;
+  t->expired_at = c->now;
+  for (cell_endpoint_t *x = t->newest; x; x = next)
     {
-      cell_endpoint_t *x = &c->endpoint[i];
-      if (c->now - x->reported_at
-          >= (x->direct ? ENDPOINT_MAX_AGE : PEER_REPORT_MAX_AGE))
+      msec_t age = c->now - x->reported_at;
+      next = x->next;
+      if (x->gone && age >= ENDPOINT_RETENTION)
+        forget (t, x);
+      else if (!x->gone
+               && age >= (x->direct ? ENDPOINT_MAX_AGE : PEER_REPORT_MAX_AGE))
         drop (c, x);
-      else
-        i++;
     }
 }
 
+static endpoint_t
+view (const cell_endpoint_t *x)
+{
+  return (endpoint_t){ str_of (x->address), str_of (x->zone), x->gone };
+}
+
 size_t
 endpoint_list_direct (const cell_t *c, endpoint_t *out)
 {
   size_t n = 0;
 
-  for (size_t i = 0; i < c->nendpoint; i++)
-    if (c->endpoint[i].direct)
-      out[n++] = (endpoint_t){ str_of (c->endpoint[i].address),
-                               str_of (c->endpoint[i].zone) };
+  for (const cell_endpoint_t *x = c->endpoints.newest; x; x = x->next)
+    if (x->direct)
+      out[n++] = view (x);
   return n;
 }
 
@@ -127,25 +197,21 @@
 {
   size_t n = 0;
 
-  for (size_t i = 0; i < c->nendpoint; i++)
-    if (strcmp (c->endpoint[i].zone, zone) == 0)
-      out[n++] = (endpoint_t){ str_of (c->endpoint[i].address),
-                               str_of (c->endpoint[i].zone) };
+  for (const cell_endpoint_t *x = c->endpoints.newest; x; x = x->next)
+    if (!x->gone && strcmp (x->zone, zone) == 0)
+      out[n++] = view (x);
   return n;
 }
 
-bool
-endpoint_changed (cell_t *c, remote_t *r)
+size_t
+endpoint_list_changes (const cell_t *c, const char *zone, int64_t revision,
+                       endpoint_t *out)
 {
-  uint64_t sum = 0;
+  size_t n = 0;
 
-  if (r->endpoint[0] == '\0' || r->endpoints_checked == c->endpoints_revision)
-    return false;
-  for (size_t i = 0; i < c->nendpoint; i++)
-    if (strcmp (c->endpoint[i].zone, r->zone) == 0)
-      sum ^= str_hash (str_of (c->endpoint[i].address));
-  r->endpoints_checked = c->endpoints_revision;
-  bool changed = sum != r->endpoints_hash;
-  r->endpoints_hash = sum;
-  return changed;
+  for (const cell_endpoint_t *x = c->endpoints.newest;
+       x && x->changed > revision; x = x->next)
+    if (strcmp (x->zone, zone) == 0)
+      out[n++] = view (x);
+  return n;
 }
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -5,6 +5,8 @@
 
 #include "cell.h"
 
+#include <apr_hash.h>
+
 enum
 {
   TICK_INTERVAL = 10,     /* ms between ticks of the replicated log */
@@ -23,8 +25,12 @@
   PEER_REPORT_MAX_AGE = 8000, /* ms that another control instance's report of
                                  entry instances is valid */
   ENDPOINT_MAX_AGE = 1500,    /* ms that an endpoint's own report is valid */
-  ENTRY_REPORT_GAP = 900,     /* ms between reports of an entry instance, at
-                                 most */
+  ENDPOINT_RETENTION = 10000, /* ms that the removal of one is kept */
+  ENDPOINT_EXPIRE_INTERVAL = 50, /* ms between searches for expired ones */
+  DIRECT_INTERVAL = 200,         /* ms between lists of the direct endpoints to
+                                    another control instance */
+  ENTRY_REPORT_GAP = 900,        /* ms between reports of an entry instance, at
+                                    most */
   WARMUP_TIME = 5000,     /* ms after the start until every running database
                              has sent a heartbeat */
   REPLACED_SLACK = 1000,  /* ms that a replacement may join before the silence
@@ -38,7 +44,9 @@
   NO_LEADER_LIMIT = 1000, /* ms without a leader until a member sends join
                              requests, since it may have been removed */
   PENDING_MAX = 64,       /* submissions and reads at a time */
-  SERVICES_MAX = 256
+  SERVICES_MAX = 256,
+  FULL_PER_TICK = 4 /* entry instances that get a whole roster in one tick of
+                       the log: encoding more would delay elections */
 };
 
 typedef struct remote remote_t;
@@ -64,21 +72,40 @@
   bool leader_sent;     /* whether a leader was known, as sent last */
   char endpoint[64];
   char zone[64];
-  int64_t endpoints_checked; /* revision of the endpoints compared last */
-  uint64_t endpoints_hash;   /* of the endpoints sent last */
-  int64_t endpoints_sent;    /* revision of the direct endpoints sent to this
-                                control instance */
+  bool takes_changes;     /* it merges changes of endpoints into its list */
+  int64_t endpoints_sent; /* revision of the endpoints sent to this entry
+                             instance, or of the direct ones sent to this
+                             control instance; -1: none */
+  msec_t direct_sent_at;  /* direct endpoints sent last */
 };
 
-typedef struct
+typedef struct cell_endpoint
 {
+  struct cell_endpoint *next; /* changed before this one */
+  struct cell_endpoint *prev;
   char address[64];
   char zone[64];
   char reporter[64]; /* control instance that reported it, unless DIRECT */
   bool direct;       /* the entry instance reports to this one */
+  bool gone;         /* no longer reported; kept to pass this on */
   msec_t reported_at;
+  int64_t changed; /* revision of the endpoints at the last change */
 } cell_endpoint_t;
 
+/* The endpoints by address, and in the order of their last change, so that the
+   changes since a revision are found without a search.  */
+typedef struct
+{
+  apr_hash_t *by_address;
+  cell_endpoint_t *newest;
+  cell_endpoint_t *oldest;
+  size_t n;
+  int64_t revision;        /* grows with each change, from 1 */
+  int64_t direct_revision; /* grows with each change of the direct ones */
+  int64_t forgotten;       /* revision up to which removals are deleted */
+  msec_t expired_at;
+} endpoint_table_t;
+
 typedef struct
 {
   char name[64];
@@ -113,6 +140,7 @@
   char id[FLEET_NAME_SIZE];
   char service[FLEET_NAME_SIZE];
   char address[FLEET_NAME_SIZE];
+  takeover_t *takeover; /* of the service; NULL beyond SERVICES_MAX */
   stream_t *stream;
   bool ready;
   int64_t incarnation;
@@ -137,7 +165,8 @@
   msec_t started;
   msec_t ticked_at;
   msec_t rosters_sent_at; /* whole rosters were due last */
-  msec_t swept_at;
+  int64_t entries; /* entry instances of the fleet, as of the last tick */
+  int full_quota;  /* whole rosters that may still be sent in this tick */
   int listener;
   raft_t *raft;
   store_t *store;
@@ -163,11 +192,7 @@
     msec_t at;
   } peer_entries[PEERS_MAX];
   size_t npeer_entries;
-  cell_endpoint_t *endpoint;
-  size_t nendpoint;
-  size_t endpoint_cap;
-  int64_t endpoints_revision; /* grows with each change, from 1 */
-  int64_t direct_endpoints_revision;
+  endpoint_table_t endpoints;
   /* Replicated state.  */
   int64_t version;
   buf_t setup;
@@ -186,7 +211,11 @@
   takeover_t takeover[SERVICES_MAX];
   size_t ntakeover;
   dbprobe_t *probes;
-  counter_t *gauge[5];
+  int64_t probed_revision; /* of the roster that PROBES follow, -1: none */
+  counter_t *sent_bytes;
+  counter_t *sent_updates;
+  counter_t *deferred;
+  counter_t *refused;
 };
 
 /* peers.c */
@@ -229,11 +258,18 @@
 bool cell_propose (cell_t *c, const fleet_record_t *r, int64_t *index);
 int64_t cell_sync_replicas (const cell_t *c, const char *service);
 void roster_record (cell_t *c);
+/* roster_refused: logs and counts a record from SOURCE that is left out.  */
+void roster_refused (cell_t *c, const backend_t *b, const char *source,
+                     const err_t *e);
+/* roster_merge: enters the records that SOURCE lists.  */
+void roster_merge (cell_t *c, const list_t *backends, const char *source);
 void pending_check (cell_t *c);
 /* update.c: rosters to control instances, updates to entry instances */
 /* update_entry_count: entry instances connected to any control instance.  */
 int64_t update_entry_count (cell_t *c);
 void update_peer_entries (cell_t *c, const roster_t *m);
+/* update_send: answers a report of R; without the roster when R needs the
+   whole of it and this tick has sent FULL_PER_TICK.  */
 void update_send (cell_t *c, remote_t *r);
 /* update_broadcast: sends every process what changed since its last update. */
 void update_broadcast (cell_t *c);
@@ -248,12 +284,13 @@
 /* endpoint_merge: enters those that another control instance reports.  */
 void endpoint_merge (cell_t *c, const roster_t *m);
 void endpoint_expire (cell_t *c);
-/* endpoint_list_direct, endpoint_list_zone: views to OUT, which has room for
-   all; return how many.  */
+/* endpoint_list_direct, endpoint_list_zone, endpoint_list_changes: views to
+   OUT, which has room for all; return how many.  The last one lists what
+   changed in ZONE after REVISION, with GONE set for what was removed.  */
 size_t endpoint_list_direct (const cell_t *c, endpoint_t *out);
 size_t endpoint_list_zone (const cell_t *c, const char *zone, endpoint_t *out);
-/* endpoint_changed: those of R's zone have changed since the last call.  */
-bool endpoint_changed (cell_t *c, remote_t *r);
+size_t endpoint_list_changes (const cell_t *c, const char *zone,
+                              int64_t revision, endpoint_t *out);
 /* probe.c */
 void probes_tick (cell_t *c);
 void probes_stop (cell_t *c);
--- a/lib/cell/message.c
+++ b/lib/cell/message.c
@@ -11,17 +11,11 @@
 }
 
 static void
-merge_roster (cell_t *c, remote_t *from, const roster_t *m)
+merge_roster (cell_t *c, const roster_t *m)
 {
-  err_t e = { 0 };
-
-  for (size_t i = 0; i < m->backends.n; i++)
-    roster_heartbeat (&c->roster, LIST_AT (m->backends, backend_t, i), c->now,
-                      &e);
-  (void)from;
+  roster_merge (c, &m->backends, "peer");
   update_peer_entries (c, m);
   endpoint_merge (c, m);
-  update_broadcast (c);
 }
 
 static void
@@ -96,7 +90,7 @@
       join_handle_response (c, msg);
       break;
     case MSG_ROSTER:
-      merge_roster (c, from, msg);
+      merge_roster (c, msg);
       break;
     case MSG_WATCH:
       receive_report (c, from, msg);
--- a/lib/cell/probe.c
+++ b/lib/cell/probe.c
@@ -30,7 +30,7 @@
 report (dbprobe_t *p, bool ok, bool refused)
 {
   cell_t *c = p->cell;
-  takeover_t *t = takeover_of (c, str_of (p->service));
+  takeover_t *t = p->takeover;
   msec_t sent = p->request_at >= 0 ? p->request_at : c->now;
 
   p->request_at = -1;
@@ -118,7 +118,7 @@
 static void
 report_position (dbprobe_t *p, pos_t pos)
 {
-  takeover_t *t = takeover_of (p->cell, str_of (p->service));
+  takeover_t *t = p->takeover;
 
   p->survey = false;
   if (t)
@@ -215,6 +215,7 @@
     abort ();
   p->cell = c;
   p->request_at = -1;
+  p->takeover = takeover_of (c, str_of (s->service));
   p->incarnation = s->incarnation;
   memcpy (p->id, s->id, sizeof p->id);
   memcpy (p->service, s->service, sizeof p->service);
@@ -235,22 +236,35 @@
   free (p);
 }
 
+static bool
+is_current (cell_t *c, const dbprobe_t *p)
+{
+  const server_t *s = roster_find (&c->roster, str_of (p->id));
+
+  return s && !s->gone && s->incarnation == p->incarnation
+         && strcmp (s->address, p->address) == 0;
+}
+
+/* Adds and removes probes after changes of the roster.  */
 static void
 follow_roster (cell_t *c)
 {
+  int64_t followed = c->probed_revision;
   dbprobe_t *next;
 
+  c->probed_revision = c->roster.revision;
   for (dbprobe_t *p = c->probes; p; p = next)
     {
-      const server_t *s = roster_find (&c->roster, str_of (p->id));
       next = p->next;
-      if (s == NULL || s->gone || s->incarnation != p->incarnation
-          || strcmp (s->address, p->address) != 0)
+      if (!is_current (c, p))
         remove_probe (c, p);
     }
   for (size_t i = 0; i < c->roster.n; i++)
-    if (!c->roster.at[i].gone && find (c, c->roster.at[i].id) == NULL)
-      add (c, &c->roster.at[i]);
+    {
+      const server_t *s = &c->roster.at[i];
+      if (s->changed > followed && !s->gone && find (c, s->id) == NULL)
+        add (c, s);
+    }
 }
 
 void
@@ -290,10 +304,11 @@
 void
 probes_tick (cell_t *c)
 {
-  follow_roster (c);
+  if (c->probed_revision != c->roster.revision)
+    follow_roster (c);
   for (dbprobe_t *p = c->probes; p; p = p->next)
     {
-      const takeover_t *t = takeover_of (c, str_of (p->service));
+      const takeover_t *t = p->takeover;
       p->is_primary = t && strcmp (t->primary, p->id) == 0;
       tick_one (p);
     }
@@ -302,6 +317,7 @@
 void
 probes_stop (cell_t *c)
 {
+  c->probed_revision = -1;
   while (c->probes)
     remove_probe (c, c->probes);
 }
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -129,16 +129,31 @@
     takeover_recorded (t, r->id, index, c->now);
 }
 
+void
+roster_refused (cell_t *c, const backend_t *b, const char *source,
+                const err_t *e)
+{
+  char line[256];
+
+  err_line (e, line, sizeof line);
+  counter_add (c->refused, 1);
+  log_event (EV_BACKEND_REFUSED, "database=" STR_FMT " source=%s cause=%s",
+             STR_ARG (b->id), source, line);
+}
+
 /* The roster is in the log so that after a restart of all control instances
    the databases are known before their next heartbeat.  Heartbeats that this
    instance received since are newer and stay.  */
-static void
-merge_backends (cell_t *c, const list_t *v)
+void
+roster_merge (cell_t *c, const list_t *v, const char *source)
 {
-  err_t e = { 0 };
-
   for (size_t i = 0; i < v->n; i++)
-    roster_heartbeat (&c->roster, LIST_AT (*v, backend_t, i), c->now, &e);
+    {
+      const backend_t *b = LIST_AT (*v, backend_t, i);
+      err_t e = { 0 };
+      if (!roster_heartbeat (&c->roster, b, c->now, &e) && e.code != ERR_STALE)
+        roster_refused (c, b, source, &e);
+    }
 }
 
 static void
@@ -159,7 +174,7 @@
   else if (r->kind == FLEET_SETUP)
     apply_setup (c, r->version, r->setup, r->document);
   else if (r->kind == FLEET_ROSTER)
-    merge_backends (c, &r->backends);
+    roster_merge (c, &r->backends, "log");
   else
     apply_intent (c, r, v->index);
   apr_pool_destroy (pool);
@@ -200,7 +215,7 @@
       put (&c->setup, s->setup);
       put (&c->document, s->document);
       decode_setup (c);
-      merge_backends (c, &s->backends);
+      roster_merge (c, &s->backends, "snapshot");
     }
   else
     err_set (e, ERR_CORRUPT, "snapshot", "not the state of a fleet");
--- a/lib/cell/takeovers.c
+++ b/lib/cell/takeovers.c
@@ -64,7 +64,8 @@
       probes_stop (c);
       return;
     }
-  for (size_t i = 0; i < c->roster.n; i++)
+  for (size_t i = 0;
+       c->probed_revision != c->roster.revision && i < c->roster.n; i++)
     if (!c->roster.at[i].gone)
       takeover_of (c, str_of (c->roster.at[i].service));
   probes_tick (c);
--- a/lib/cell/update.c
+++ b/lib/cell/update.c
@@ -4,6 +4,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  /* ms until an entry instance whose update was deferred asks again.  */
+  RETRY_AFTER_MIN = 30,
+  RETRY_AFTER_SPREAD = 200
+};
+
 static int64_t
 local_entry_count (const cell_t *c)
 {
@@ -42,87 +49,190 @@
   return n;
 }
 
+/* ---- updates to entry instances ---- */
+
 static void
-send_update (cell_t *c, remote_t *r, bool endpoints)
+count_sent (cell_t *c, const remote_t *r, size_t before)
 {
-  size_t max = c->roster.n;
-  backend_t *v = calloc (max + 1, sizeof *v);
-  endpoint_t *x = calloc (c->nendpoint + 1, sizeof *x);
-  const members_t *m = raft_member_list (c->raft);
-  bool setup = c->version > r->version;
+  counter_add (c->sent_updates, 1);
+  counter_add (c->sent_bytes,
+               (int64_t)(buf_len (stream_out (r->stream)) - before));
+}
 
-  if (v == NULL || x == NULL)
+static void
+reply_counted (cell_t *c, remote_t *r, const watch_update_t *n)
+{
+  size_t before = buf_len (stream_out (r->stream));
+
+  peers_reply (c, r, MSG_WATCH_UPDATE, n);
+  count_sent (c, r, before);
+}
+
+static bool
+endpoints_due (const cell_t *c, const remote_t *r)
+{
+  return r->endpoint[0] && r->endpoints_sent < c->endpoints.revision;
+}
+
+/* The endpoints that R lacks; the whole list of its zone when R can't merge
+   changes, or when some of them are no longer known.  */
+static void
+add_endpoints (cell_t *c, remote_t *r, watch_update_t *n, endpoint_t *out)
+{
+  bool whole = !r->takes_changes || r->endpoints_sent < c->endpoints.forgotten;
+  size_t changes = endpoint_list_changes (c, r->zone, r->endpoints_sent, out);
+
+  if (r->endpoints_sent >= 0 && !whole && changes == 0)
+    {
+      r->endpoints_sent = c->endpoints.revision;
+      return;
+    }
+  whole |= r->endpoints_sent < 0;
+  n->has_endpoints = true;
+  n->endpoint_changes = !whole;
+  n->endpoints.v = out;
+  n->endpoints.n = whole ? endpoint_list_zone (c, r->zone, out) : changes;
+  r->endpoints_sent = c->endpoints.revision;
+}
+
+static void *
+list_new (size_t n, size_t size)
+{
+  void *v = calloc (n + 1, size);
+
+  if (v == NULL)
     abort ();
-  watch_update_t n = { .seq = r->seq,
-                       .boot = c->boot,
-                       .has_leader = cell_has_leader (c),
-                       .roster_complete = c->now - c->started > WARMUP_TIME,
-                       .version = c->version,
-                       .setup = setup ? buf_str (&c->setup) : (str_t){ 0 },
-                       .roster = c->roster.revision,
-                       .full = r->roster_known < 0,
-                       .entries = update_entry_count (c),
-                       .has_endpoints = endpoints };
-  if (endpoints)
-    n.endpoints = (list_t){ x, endpoint_list_zone (c, r->zone, x) };
+  return v;
+}
+
+static watch_update_t
+update_head (cell_t *c, const remote_t *r)
+{
+  return (watch_update_t){
+    .seq = r->seq,
+    .boot = c->boot,
+    .has_leader = cell_has_leader (c),
+    .roster_complete = c->now - c->started > WARMUP_TIME,
+    .version = c->version,
+    .roster = r->roster_known,
+    .entries = c->entries,
+  };
+}
+
+static void
+send_update (cell_t *c, remote_t *r)
+{
+  const members_t *m = raft_member_list (c->raft);
+  watch_update_t n = update_head (c, r);
+  backend_t *v = NULL;
+  endpoint_t *x = NULL;
+
+  n.full = r->roster_known < 0;
+  n.roster = c->roster.revision;
+  if (c->version > r->version)
+    n.setup = buf_str (&c->setup);
+  if (endpoints_due (c, r))
+    add_endpoints (c, r, &n, x = list_new (c->endpoints.n, sizeof *x));
   if (r->members_sent != c->observed.members_changes)
     n.control = m->list;
-  n.backends.v = v;
-  n.backends.n = roster_list (&c->roster, r->roster_known, c->now, v, max);
-  peers_reply (c, r, MSG_WATCH_UPDATE, &n);
+  if (n.full || r->roster_known < c->roster.revision)
+    {
+      n.backends.v = v = list_new (c->roster.n, sizeof *v);
+      n.backends.n
+          = roster_list (&c->roster, r->roster_known, c->now, v, c->roster.n);
+    }
+  reply_counted (c, r, &n);
   r->roster_known = c->roster.revision;
   r->leader_sent = n.has_leader;
   r->members_sent = c->observed.members_changes;
-  if (setup)
+  if (n.setup.n)
     r->version = c->version;
   free (v);
   free (x);
 }
 
+/* Answers a report without the roster and the configuration.  The entry
+   instance keeps what it has, and asks again after a time that differs from
+   that of the others.  */
+static void
+defer_update (cell_t *c, remote_t *r)
+{
+  watch_update_t n = update_head (c, r);
+
+  n.retry_after
+      = RETRY_AFTER_MIN + (msec_t)(rng_below (&c->rng, RETRY_AFTER_SPREAD));
+  counter_add (c->deferred, 1);
+  reply_counted (c, r, &n);
+}
+
 void
 update_send (cell_t *c, remote_t *r)
 {
-  send_update (c, r, endpoint_changed (c, r));
+  if (r->roster_known < 0 && c->full_quota == 0)
+    {
+      defer_update (c, r);
+      return;
+    }
+  if (r->roster_known < 0)
+    c->full_quota--;
+  send_update (c, r);
 }
 
+/* Changes of endpoints are not sent here: they follow with the answer to the
+   next report, so that many instances that come or go at once cost each
+   receiver one list.  */
 void
 update_broadcast (cell_t *c)
 {
+  bool has_leader = cell_has_leader (c);
+
+  c->entries = update_entry_count (c);
   roster_broadcast (c);
   for (remote_t *r = c->remotes; r; r = r->next)
     {
-      if (!r->is_entry || r->stream == NULL)
+      if (!r->is_entry || r->stream == NULL || r->roster_known < 0)
         continue;
-      bool endpoints = endpoint_changed (c, r);
-      if (endpoints || r->roster_known < c->roster.revision
-          || r->version < c->version || r->leader_sent != cell_has_leader (c))
-        send_update (c, r, endpoints);
+      if (r->roster_known < c->roster.revision || r->version < c->version
+          || r->leader_sent != has_leader)
+        send_update (c, r);
     }
 }
 
+/* ---- rosters to control instances ---- */
+
+/* Whether R is due the list of the direct endpoints: at once on a new
+   connection, then at most every DIRECT_INTERVAL.  */
+static bool
+direct_due (const cell_t *c, const remote_t *r)
+{
+  return r->endpoints_sent < 0
+         || (r->endpoints_sent != c->endpoints.direct_revision
+             && c->now - r->direct_sent_at >= DIRECT_INTERVAL);
+}
+
 /* Sends R what has changed since its last roster.  */
 static void
 send_roster (cell_t *c, remote_t *r)
 {
   size_t max = c->roster.n;
-  backend_t *v = calloc (max + 1, sizeof *v);
-  endpoint_t *x = calloc (c->nendpoint + 1, sizeof *x);
-  roster_t m
-      = { .from = c->conf.name,
-          .full = r->roster_sent < 0,
-          .entries = local_entry_count (c),
-          .has_endpoints = r->endpoints_sent != c->direct_endpoints_revision };
-
-  if (v == NULL || x == NULL)
-    abort ();
+  backend_t *v = list_new (max, sizeof *v);
+  endpoint_t *x = list_new (c->endpoints.n, sizeof *x);
+  roster_t m = { .from = c->conf.name,
+                 .full = r->roster_sent < 0,
+                 .entries = local_entry_count (c),
+                 .has_endpoints = direct_due (c, r) };
+
   if (m.has_endpoints)
-    m.endpoints = (list_t){ x, endpoint_list_direct (c, x) };
+    {
+      m.endpoints = (list_t){ x, endpoint_list_direct (c, x) };
+      r->endpoints_sent = c->endpoints.direct_revision;
+      r->direct_sent_at = c->now;
+    }
   m.backends.v = v;
   m.backends.n = roster_list (&c->roster, r->roster_sent, c->now, v, max);
   rpc_encode (stream_out (r->stream), MSG_ROSTER, &m);
   stream_flush (r->stream);
   r->roster_sent = c->roster.revision;
-  r->endpoints_sent = c->direct_endpoints_revision;
   free (v);
   free (x);
 }
@@ -139,9 +249,7 @@
       const member_t *x = LIST_AT (m->list, member_t, i);
       remote_t *r
           = x->id == raft_id (c->raft) ? NULL : peers_connect (c, x->address);
-      if (r
-          && (r->roster_sent < c->roster.revision
-              || r->endpoints_sent != c->direct_endpoints_revision))
+      if (r && (r->roster_sent < c->roster.revision || direct_due (c, r)))
         send_roster (c, r);
     }
 }
@@ -151,5 +259,6 @@
 {
   c->rosters_sent_at = c->now;
   for (remote_t *r = c->remotes; r; r = r->next)
-    r->roster_sent = r->endpoints_sent = -1;
+    if (!r->is_entry)
+      r->roster_sent = r->endpoints_sent = -1;
 }
--- a/lib/fleet/roster.c
+++ b/lib/fleet/roster.c
@@ -4,13 +4,45 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum
+{
+  INDEX_MIN = 64 /* slots of the index by id */
+};
+
+/* The slot of ID in the index, or the free slot where it belongs.  */
+static size_t
+slot_of (const roster_table_t *r, str_t id)
+{
+  size_t at = (size_t)str_hash (id) & (r->nindex - 1);
+
+  while (r->index[at] && !str_eq (str_of (r->at[r->index[at] - 1].id), id))
+    at = (at + 1) & (r->nindex - 1);
+  return at;
+}
+
 server_t *
-roster_find (roster_table_t *r, str_t id)
+roster_find (const roster_table_t *r, str_t id)
+{
+  uint32_t at = r->nindex ? r->index[slot_of (r, id)] : 0;
+
+  return at ? &r->at[at - 1] : NULL;
+}
+
+/* Builds the index anew, at most half full.  */
+static void
+build_index (roster_table_t *r)
 {
+  size_t n = INDEX_MIN;
+
+  while (n < 2 * (r->n + 1))
+    n *= 2;
+  free (r->index);
+  r->index = calloc (n, sizeof *r->index);
+  if (r->index == NULL)
+    abort ();
+  r->nindex = n;
   for (size_t i = 0; i < r->n; i++)
-    if (str_eq (str_of (r->at[i].id), id))
-      return &r->at[i];
-  return NULL;
+    r->index[slot_of (r, str_of (r->at[i].id))] = (uint32_t)i + 1;
 }
 
 static server_t *
@@ -28,25 +60,21 @@
   server_t *s = &r->at[r->n++];
   *s = (server_t){ .incarnation = -1, .seq = -1 };
   snprintf (s->id, sizeof s->id, STR_FMT, STR_ARG (id));
+  if (2 * (r->n + 1) > r->nindex)
+    build_index (r);
+  else
+    r->index[slot_of (r, id)] = (uint32_t)r->n;
   return s;
 }
 
+/* Whether the sequence number can follow that of the last heartbeat.  A number
+   written by another writer would make those of the database itself count as
+   late for as long as it runs.  */
 static bool
-fits (str_t s)
+follows (const server_t *s, const backend_t *b)
 {
-  return s.n > 0 && s.n < FLEET_NAME_SIZE;
-}
-
-static bool
-valid (const backend_t *b)
-{
-  if (!fits (b->id))
-    return false;
-  if (!b->gone && (b->born < 0 || b->seq < 0))
-    return false;
-  return b->gone
-         || (fits (b->service) && fits (b->address)
-             && b->zone.n < FLEET_NAME_SIZE);
+  return s->incarnation != b->born || s->seq < 0
+         || b->seq - s->seq <= SEQ_JUMP_MAX;
 }
 
 static void
@@ -56,19 +84,21 @@
 }
 
 /* Addresses are reused: of two servers at one address only the later start
-   still runs.  */
+   still runs.  The earlier one's heartbeat may have been delayed by a
+   partition and arrive after the later one's.  */
 static void
-free_address (roster_table_t *r, const server_t *s)
+free_address (roster_table_t *r, server_t *s)
 {
   for (size_t i = 0; i < r->n; i++)
     {
       server_t *o = &r->at[i];
       if (o == s || o->gone || strcmp (o->address, s->address) != 0)
         continue;
-      if (o->incarnation < s->incarnation)
+      if (o->incarnation != s->incarnation)
         {
-          o->gone = true;
-          mark_changed (r, o);
+          server_t *older = o->incarnation < s->incarnation ? o : s;
+          older->gone = true;
+          mark_changed (r, older);
         }
     }
 }
@@ -100,9 +130,8 @@
 {
   bool changed = false;
 
-  if (!valid (b))
-    return err_set (e, ERR_RANGE, "heartbeat",
-                    "a field is missing, too long or negative");
+  if (!backend_check (b, e))
+    return false;
   server_t *s = roster_find (r, b->id);
   if (s == NULL && b->gone)
     return true;
@@ -114,6 +143,9 @@
           || (b->born == s->incarnation && b->seq < s->seq)
           || (b->born == s->incarnation && s->gone && !b->gone)))
     return err_set (e, ERR_STALE, s->id, "a later heartbeat is known");
+  if (s && !follows (s, b))
+    return err_set (e, ERR_RANGE, "seq", "%lld after %lld", (long long)b->seq,
+                    (long long)s->seq);
   if (s && b->gone)
     return deregister (r, s, b, now);
   if (s == NULL && (s = add (r, b->id)) == NULL)
@@ -134,14 +166,18 @@
   if (now - b->age > s->heartbeat_at || restarted)
     s->heartbeat_at = now - b->age;
   if (changed)
-    mark_changed (r, s);
-  free_address (r, s);
+    {
+      mark_changed (r, s);
+      free_address (r, s);
+    }
   return true;
 }
 
 void
 roster_expire (roster_table_t *r, msec_t now)
 {
+  size_t before = r->n;
+
   for (size_t i = 0; i < r->n; i++)
     {
       server_t *s = &r->at[i];
@@ -154,6 +190,8 @@
                && now - s->heartbeat_at > ROSTER_TIMEOUT + ROSTER_RETENTION)
         r->at[i--] = r->at[--r->n];
     }
+  if (r->n != before)
+    build_index (r);
 }
 
 size_t
@@ -186,5 +224,6 @@
 roster_free (roster_table_t *r)
 {
   free (r->at);
+  free (r->index);
   *r = (roster_table_t){ 0 };
 }
--- a/lib/fleet/takeover.c
+++ b/lib/fleet/takeover.c
@@ -8,6 +8,7 @@
 {
   *t = (takeover_t){ .phase = PHASE_MONITOR,
                      .phase_since = now,
+                     .roster_revision = -1,
                      .probe_ok_at = -1,
                      .fail_since = -1,
                      .reported_ok_at = -1,
@@ -93,7 +94,7 @@
 /* ---- the primary and its state ---- */
 
 static const server_t *
-current_primary (const takeover_t *t, const roster_table_t *r)
+search_primary (const takeover_t *t, const roster_table_t *r)
 {
   const server_t *best = NULL;
 
@@ -186,10 +187,9 @@
 static bool
 eligible (const roster_table_t *r, const char *id)
 {
-  for (size_t i = 0; i < r->n; i++)
-    if (strcmp (r->at[i].id, id) == 0)
-      return !r->at[i].gone && !r->at[i].leaving;
-  return false;
+  const server_t *s = roster_find (r, str_of (id));
+
+  return s && !s->gone && !s->leaving;
 }
 
 /* The most advanced of the databases that answered and are not leaving.  With
@@ -237,12 +237,28 @@
   return action (t, TAKEOVER_INTENT);
 }
 
+/* The primary according to the roster, which is searched after a change only:
+   each service asks in every tick.  */
+static const server_t *
+current_primary (takeover_t *t, const roster_table_t *r, msec_t now)
+{
+  const server_t *p;
+
+  if (t->roster_revision == r->revision)
+    p = t->has_primary ? roster_find (r, str_of (t->primary)) : NULL;
+  else
+    p = search_primary (t, r);
+  follow_primary (t, p, now);
+  t->has_primary = p != NULL;
+  t->roster_revision = r->revision;
+  return p;
+}
+
 takeover_action_t
 takeover_tick (takeover_t *t, const roster_table_t *r, msec_t now)
 {
-  const server_t *p = current_primary (t, r);
+  const server_t *p = current_primary (t, r, now);
 
-  follow_primary (t, p, now);
   switch (t->phase)
     {
     case PHASE_MONITOR:
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -4,12 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum
-{
-  DRAINING_LEADER_TIME = 5000 /* ms that a draining primary still gets work
-                          while no other leads */
-};
-
 service_t *
 service_find (proxy_t *p, const char *name)
 {
@@ -172,6 +166,16 @@
 static void
 db_update (proxy_t *p, const backend_t *b)
 {
+  err_t e = { 0 };
+  char line[256];
+
+  if (!b->gone && !backend_check (b, &e))
+    {
+      err_line (&e, line, sizeof line);
+      log_event (EV_DATABASE_REFUSED, "database=" STR_FMT " cause=%s",
+                 STR_ARG (b->id), line);
+      return;
+    }
   service_t *s = service_get (p, b->service);
   db_t *d = db_find (s, b->id);
 
@@ -273,6 +277,7 @@
     apr_pool_destroy (p->setup_pool);
   p->setup_pool = pool;
   p->setup = n;
+  setup_bound (n);
   p->routes = apr_hash_make (pool);
   for (size_t i = 0; i < n->routes.n; i++)
     {
@@ -282,7 +287,9 @@
   for (size_t i = 0; i < n->services.n; i++)
     {
       const service_entry_t *x = LIST_AT (n->services, service_entry_t, i);
-      service_get (p, x->name)->connections = (int)x->connections;
+      service_t *v = service_get (p, x->name);
+      v->connections = (int)x->connections;
+      v->setup_version = n->version;
     }
   log_event (EV_SETUP, "version=%lld routes=%zu", (long long)n->version,
              n->routes.n);
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -117,31 +117,95 @@
       p->endpoint[i].avoid_until = p->now + OWNER_BACKOFF;
 }
 
-void
-forward_update (proxy_t *p, const watch_update_t *n)
+static int
+endpoint_index (const proxy_t *p, str_t address)
 {
-  size_t max = n->endpoints.n;
-  endpoint_entry_t *v;
+  for (size_t i = 0; i < p->nendpoint; i++)
+    if (str_eq (str_of (p->endpoint[i].address), address))
+      return (int)i;
+  return -1;
+}
+
+static endpoint_entry_t *
+endpoints_new (size_t n)
+{
+  endpoint_entry_t *v = calloc (n + 1, sizeof *v);
 
-  if (!n->has_endpoints)
-    return;
-  v = calloc (max + 1, sizeof *v);
   if (v == NULL)
     abort ();
-  for (size_t i = 0; i < max; i++)
-    {
-      str_t a = LIST_AT (n->endpoints, endpoint_t, i)->address;
-      snprintf (v[i].address, sizeof v[i].address, STR_FMT, STR_ARG (a));
-      for (size_t k = 0; k < p->nendpoint; k++)
-        if (strcmp (p->endpoint[k].address, v[i].address) == 0)
-          v[i].avoid_until = p->endpoint[k].avoid_until;
-    }
+  return v;
+}
+
+static void
+endpoints_replace (proxy_t *p, endpoint_entry_t *v, size_t n)
+{
   free (p->endpoint);
   p->endpoint = v;
-  p->nendpoint = max;
+  p->nendpoint = n;
   p->endpoints_version++;
 }
 
+static void
+endpoints_set (proxy_t *p, const list_t *list)
+{
+  endpoint_entry_t *v = endpoints_new (list->n);
+
+  for (size_t i = 0; i < list->n; i++)
+    {
+      str_t a = LIST_AT (*list, endpoint_t, i)->address;
+      int at = endpoint_index (p, a);
+      snprintf (v[i].address, sizeof v[i].address, STR_FMT, STR_ARG (a));
+      if (at >= 0)
+        v[i].avoid_until = p->endpoint[at].avoid_until;
+    }
+  endpoints_replace (p, v, list->n);
+}
+
+static void
+endpoints_change (proxy_t *p, const list_t *list)
+{
+  size_t n = p->nendpoint;
+  endpoint_entry_t *v = endpoints_new (n + list->n);
+  bool changed = false;
+
+  if (n)
+    memcpy (v, p->endpoint, n * sizeof *v);
+  for (size_t i = 0; i < list->n; i++)
+    {
+      const endpoint_t *x = LIST_AT (*list, endpoint_t, i);
+      int at = endpoint_index (p, x->address);
+      if (x->gone == (at < 0))
+        continue;
+      changed = true;
+      if (x->gone)
+        v[at].address[0] = '\0';
+      else
+        snprintf (v[n++].address, sizeof v->address, STR_FMT,
+                  STR_ARG (x->address));
+    }
+  if (!changed)
+    {
+      free (v);
+      return;
+    }
+  size_t kept = 0;
+  for (size_t i = 0; i < n; i++)
+    if (v[i].address[0])
+      v[kept++] = v[i];
+  endpoints_replace (p, v, kept);
+}
+
+void
+forward_update (proxy_t *p, const watch_update_t *n)
+{
+  if (!n->has_endpoints)
+    return;
+  if (n->endpoint_changes)
+    endpoints_change (p, &n->endpoints);
+  else
+    endpoints_set (p, &n->endpoints);
+}
+
 static bool
 is_listed (const proxy_t *p, const char *address)
 {
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -164,7 +164,8 @@
   service_t *next;
   proxy_t *proxy;
   char name[NAME_LEN];
-  int connections; /* limit of each database, all instances together */
+  int connections;       /* limit of each database, all instances together */
+  int64_t setup_version; /* last configuration that contains it; 0: none */
   /* Instances of this zone that own connections to it.  */
   int owner[OWNERS_MAX]; /* indexes into proxy_t.endpoint */
   int nowner;
@@ -266,11 +267,17 @@
   size_t at; /* next to try, among these and those of the settings */
   char dialed[NAME_LEN]; /* address that STREAM was opened to */
   apr_pool_t *pool;
-  int64_t seq;          /* of the last report */
-  int64_t boot;         /* identifies the start of the instance that numbered
-                           ROSTER */
-  int64_t roster;       /* version of the last full roster; -1: none */
-  msec_t sent_at;       /* last report or connection attempt */
+  int64_t seq;      /* of the last report */
+  int64_t boot;     /* identifies the start of the instance that numbered
+                       ROSTER */
+  int64_t roster;   /* version of the last full roster; -1: none */
+  msec_t sent_at;   /* last report or connection attempt */
+  msec_t dial_at;   /* no connection attempt before this time */
+  msec_t opened_at; /* STREAM was connected */
+  msec_t retry_at;  /* next report that control asked for; 0: none */
+  int attempts;     /* connections in a row without an update */
+  int patience;     /* connections given up for silence, of late */
+  rng_t rng;
   msec_t updated_at;    /* last update */
   msec_t has_leader_at; /* last update from an instance that has a leader */
   bool urgent;          /* report without waiting for the interval */
--- a/lib/proxy/pool.c
+++ b/lib/proxy/pool.c
@@ -29,13 +29,13 @@
     }
 }
 
-/* Whether the limit of S allows a connection for each instance that opens
-   connections to it.  */
+/* Whether S is in the configuration and its limit allows a connection for each
+   instance that opens connections to it.  */
 static bool
 one_per_instance (proxy_t *p, service_t *s)
 {
-  return p->entries > 0 && forward_may_connect (p, s)
-         && !forward_owners_pending (p, s)
+  return p->entries > 0 && p->setup && s->setup_version == p->setup->version
+         && forward_may_connect (p, s) && !forward_owners_pending (p, s)
          && s->connections > forward_sharers (p, s);
 }
 
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -64,7 +64,8 @@
   p->watch.roster = -1;
   p->watch.sent_at = p->now - 1000;
   p->watch.updated_at = p->now;
-  p->watch.at = (size_t)(rng_system_seed () % 1024);
+  rng_init (&p->watch.rng, rng_system_seed ());
+  p->watch.at = (size_t)rng_below (&p->watch.rng, 1024);
   metrics_new (p);
   p->listener = rpc_listen (c->listen, e);
   if (p->listener < 0 || !loop_watch (l, p->listener, on_client, p, e))
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -15,9 +15,42 @@
 enum
 {
   URGENT_INTERVAL = 40, /* ms between reports marked urgent */
-  DIAL_TIMEOUT = 500    /* ms to connect to a control instance */
+  PATIENCE_MAX = 2,     /* the silence limit doubles so often at most */
+  DIAL_TIMEOUT = 500,   /* ms to connect to a control instance */
+  /* Attempts in a row that got no update before the next is delayed: the other
+     instances may be down, and the next one may answer.  */
+  FREE_ATTEMPTS = 2,
+  DIAL_BACKOFF_MIN = 100, /* ms, doubles with each further attempt */
+  DIAL_BACKOFF_MAX = 1600,
+  /* ms with updates until the patience with a silent instance shrinks.  */
+  STEADY_TIME = 5000
 };
 
+/* Delay in ms before the next connection to a control instance.  It differs
+   between entry instances: all of them lose a failed control instance at the
+   same time.  */
+static msec_t
+dial_delay (watcher_t *w)
+{
+  msec_t d = DIAL_BACKOFF_MIN;
+
+  if (w->attempts < FREE_ATTEMPTS)
+    return URGENT_INTERVAL;
+  for (int i = FREE_ATTEMPTS; i < w->attempts && d < DIAL_BACKOFF_MAX; i++)
+    d *= 2;
+  return d / 2 + (msec_t)rng_below (&w->rng, (uint64_t)d);
+}
+
+/* Time in ms without an update until another control instance is tried.  One
+   that is late since it has much to do would get more to do by each entry
+   instance that comes from another, so the time doubles with each move and
+   shrinks again once updates come steadily.  */
+static msec_t
+silence_limit (const watcher_t *w)
+{
+  return UPDATE_TIMEOUT << w->patience;
+}
+
 static void
 control_lost (proxy_t *p, const char *cause)
 {
@@ -28,6 +61,8 @@
   p->watch.stream = NULL;
   p->watch.roster = -1;
   p->watch.at++;
+  p->watch.attempts++;
+  p->watch.dial_at = p->now + dial_delay (&p->watch);
 }
 
 static void
@@ -37,7 +72,7 @@
 
   p->now = loop_now (p->loop);
   control_lost (p, err_name (e->code));
-  wake_at (p, p->now + URGENT_INTERVAL);
+  wake_at (p, p->watch.dial_at);
 }
 
 static void
@@ -58,7 +93,8 @@
                 .version = p->setup ? p->setup->version : 0,
                 .roster = w->roster,
                 .boot = w->boot,
-                .zone = p->conf.zone };
+                .zone = p->conf.zone,
+                .takes_changes = true };
 
   if (forward_accepts (p))
     m.address = p->conf.peers;
@@ -77,6 +113,7 @@
   rpc_encode (stream_out (w->stream), MSG_WATCH, &m);
   stream_flush (w->stream);
   w->sent_at = p->now;
+  w->retry_at = 0;
   w->urgent = false;
 }
 
@@ -87,7 +124,7 @@
 
   p->now = loop_now (p->loop);
   /* The time without updates starts again with each instance.  */
-  p->watch.updated_at = p->now;
+  p->watch.updated_at = p->watch.opened_at = p->now;
   send_report (p);
 }
 
@@ -148,6 +185,13 @@
   w->roster = -1;
 }
 
+/* The time that a control instance asks for, within what a report takes.  */
+static msec_t
+retry_delay (int64_t asked)
+{
+  return asked < REPORT_INTERVAL ? asked : REPORT_INTERVAL;
+}
+
 static void
 apply_update (proxy_t *p, const watch_update_t *n)
 {
@@ -160,9 +204,18 @@
     log_event (EV_CONTROL_UP, "version=%lld led=%d", (long long)n->version,
                n->has_leader);
   w->lost = false;
-  if (n->full)
+  w->attempts = 0;
+  if (p->now - w->opened_at >= STEADY_TIME)
+    w->patience = 0;
+  /* Changes follow on the roster of the report before, or on a whole one.  */
+  if (n->full || (w->roster >= 0 && w->boot == n->boot))
     w->roster = n->roster;
   w->boot = n->boot;
+  if (n->retry_after > 0)
+    {
+      w->retry_at = p->now + retry_delay (n->retry_after);
+      wake_at (p, w->retry_at);
+    }
   fleet_update (p, n);
   /* Other instances wait for this one's endpoint.  */
   if (w->endpoint_sent != forward_accepts (p))
@@ -230,9 +283,9 @@
 
   if (w->stream == NULL)
     {
-      if (now - w->sent_at >= URGENT_INTERVAL)
+      if (now >= w->dial_at)
         dial (p);
-      wake_at (p, now + URGENT_INTERVAL);
+      wake_at (p, w->stream ? now + URGENT_INTERVAL : w->dial_at);
       return;
     }
   if (!stream_connected (w->stream))
@@ -242,16 +295,19 @@
       wake_at (p, now + URGENT_INTERVAL);
       return;
     }
-  if (now - w->updated_at >= UPDATE_TIMEOUT
+  if (now - w->updated_at >= silence_limit (w)
       && now - w->sent_at < UPDATE_TIMEOUT
       && w->sent_at > w->updated_at + REPORT_INTERVAL)
     {
+      if (w->patience < PATIENCE_MAX)
+        w->patience++;
       disconnect (p, "silent");
-      wake_at (p, now);
+      wake_at (p, w->dial_at);
       return;
     }
   if (now - w->sent_at >= REPORT_INTERVAL
-      || (w->urgent && now - w->sent_at >= URGENT_INTERVAL))
+      || (w->urgent && now - w->sent_at >= URGENT_INTERVAL)
+      || (w->retry_at && now >= w->retry_at))
     send_report (p);
   wake_at (p, w->sent_at + (w->urgent ? URGENT_INTERVAL : REPORT_INTERVAL));
 }
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -258,7 +258,8 @@
 TABLE (backend);
 
 static const field_t endpoint_fields[]
-    = { TEXT (endpoint_t, address), TEXT (endpoint_t, zone) };
+    = { TEXT (endpoint_t, address), TEXT (endpoint_t, zone),
+        BOOL (endpoint_t, gone) };
 TABLE (endpoint);
 
 static const field_t roster_fields[]
@@ -276,7 +277,8 @@
     = { TEXT (watch_t, name),    INT (watch_t, seq),
         INT (watch_t, version),  INT (watch_t, roster),
         INT (watch_t, boot),     LIST (watch_t, reachability, reachability),
-        TEXT (watch_t, address), TEXT (watch_t, zone) };
+        TEXT (watch_t, address), TEXT (watch_t, zone),
+        BOOL (watch_t, takes_changes) };
 TABLE (watch);
 
 static const field_t watch_update_fields[]
@@ -292,7 +294,9 @@
         LIST (watch_update_t, control, member),
         INT (watch_update_t, entries),
         BOOL (watch_update_t, has_endpoints),
-        LIST (watch_update_t, endpoints, endpoint) };
+        LIST (watch_update_t, endpoints, endpoint),
+        BOOL (watch_update_t, endpoint_changes),
+        INT (watch_update_t, retry_after) };
 TABLE_AS (watch_update, "news");
 
 static const field_t fleet_record_fields[]
--- a/test/stage.c
+++ b/test/stage.c
@@ -367,7 +367,7 @@
           .version = s->version,
           .setup = m->version < s->version ? buf_str (&setup) : (str_t){ 0 },
           .roster = s->roster,
-          .full = true,
+          .full = !(s->roster_changes && m->roster >= 0),
           .backends = { b, STAGE_DBS },
           .control = { ctl, 2 },
           .entries = s->entries,
@@ -396,6 +396,7 @@
       watch_t *m = rpc_decode (pool, body, &type, NULL);
       ck_assert (m && type == MSG_WATCH);
       w->stage->reports[w->at]++;
+      w->stage->roster_reported = m->roster;
       if (!w->stage->control_silent[w->at])
         send_update (w, m);
       buf_take (stream_in (w->stream), body.n + 4);
--- a/test/stage.h
+++ b/test/stage.h
@@ -69,8 +69,10 @@
   int reports[2]; /* received by each control instance */
   int64_t version;
   int64_t roster;
-  int64_t tx_idle; /* ms */
-  int64_t timeout; /* of statements, ms */
+  bool roster_changes;     /* later rosters are marked as changes */
+  int64_t roster_reported; /* roster that the last report names */
+  int64_t tx_idle;         /* ms */
+  int64_t timeout;         /* of statements, ms */
   bool extra_route;
   msec_t until;
   bool (*done) (void *arg);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -2,6 +2,7 @@
 
 #include <check.h>
 #include <stdlib.h>
+#include <stdio.h>
 #include <string.h>
 
 /* ---- freshness of reads ---- */
@@ -116,19 +117,19 @@
 START_TEST (late_heartbeat_changes_nothing)
 {
   roster_table_t r = { 0 };
-  backend_t b = heartbeat ("a", "h:1", 10, 5);
+  backend_t b = heartbeat ("a", "127.0.0.1:1", 10, 5);
   err_t e = { 0 };
 
   ck_assert (roster_heartbeat (&r, &b, 100, &e));
-  b = heartbeat ("a", "h:1", 10, 4);
+  b = heartbeat ("a", "127.0.0.1:1", 10, 4);
   b.leaving = true;
   ck_assert (!roster_heartbeat (&r, &b, 100, &e));
   ck_assert_int_eq (e.code, ERR_STALE);
   ck_assert (!r.at[0].leaving);
-  b = heartbeat ("a", "h:1", 11, 1);
+  b = heartbeat ("a", "127.0.0.1:1", 11, 1);
   ck_assert (roster_heartbeat (&r, &b, 100, &e));
   ck_assert_int_eq (r.at[0].incarnation, 11);
-  b = heartbeat ("a", "h:1", 10, 99);
+  b = heartbeat ("a", "127.0.0.1:1", 10, 99);
   ck_assert (!roster_heartbeat (&r, &b, 100, &e));
   roster_free (&r);
 }
@@ -139,20 +140,20 @@
 START_TEST (late_heartbeat_does_not_reactivate)
 {
   roster_table_t r = { 0 };
-  backend_t b = heartbeat ("a", "h:1", 10, 5);
+  backend_t b = heartbeat ("a", "127.0.0.1:1", 10, 5);
   err_t e = { 0 };
 
   b.leaving = true;
   roster_heartbeat (&r, &b, 100, &e);
-  b = heartbeat ("a", "h:1", 10, 6);
+  b = heartbeat ("a", "127.0.0.1:1", 10, 6);
   ck_assert (roster_heartbeat (&r, &b, 100, &e));
   ck_assert (r.at[0].leaving);
   b = (backend_t){ .id = STR ("a"), .gone = true, .born = -1 };
   ck_assert (roster_heartbeat (&r, &b, 100, &e));
   ck_assert (r.at[0].gone);
-  b = heartbeat ("a", "h:1", 10, 7);
+  b = heartbeat ("a", "127.0.0.1:1", 10, 7);
   ck_assert (!roster_heartbeat (&r, &b, 100, &e));
-  b = heartbeat ("a", "h:1", 20, 0);
+  b = heartbeat ("a", "127.0.0.1:1", 20, 0);
   ck_assert (roster_heartbeat (&r, &b, 100, &e));
   ck_assert (!r.at[0].gone && !r.at[0].leaving);
   roster_free (&r);
@@ -163,8 +164,8 @@
 START_TEST (later_start_takes_the_address)
 {
   roster_table_t r = { 0 };
-  backend_t a = heartbeat ("a", "h:1", 10, 5),
-            b = heartbeat ("b", "h:1", 20, 1);
+  backend_t a = heartbeat ("a", "127.0.0.1:1", 10, 5),
+            b = heartbeat ("b", "127.0.0.1:1", 20, 1);
   err_t e = { 0 };
 
   roster_heartbeat (&r, &a, 100, &e);
@@ -175,16 +176,134 @@
 }
 END_TEST
 
+/* Guards against a heartbeat that a partition delayed: its sender has ended,
+   and another database runs at its address.  */
+START_TEST (late_heartbeat_does_not_take_the_address_back)
+{
+  roster_table_t r = { 0 };
+  backend_t a = heartbeat ("a", "127.0.0.1:1", 10, 5),
+            b = heartbeat ("b", "127.0.0.1:1", 20, 1);
+  err_t e = { 0 };
+
+  roster_heartbeat (&r, &b, 100, &e);
+  roster_heartbeat (&r, &a, 100, &e);
+  ck_assert (roster_find (&r, STR ("a"))->gone);
+  ck_assert (!roster_find (&r, STR ("b"))->gone);
+  roster_free (&r);
+}
+END_TEST
+
+/* Guards against odd entries of other writers that registered as databases:
+   ports out of range, addresses that are none, numbers too large for their
+   place, names that would break the line protocol.  */
+START_TEST (odd_entries_are_refused)
+{
+  static const char *const address[] = { "127.0.0.1:99999",
+                                         "127.0.0.1:0",
+                                         "127.0.0.1:-4",
+                                         "127.0.0.1",
+                                         "not an address",
+                                         "",
+                                         ":80",
+                                         "127.0.0.1:",
+                                         "127.0.0.1:80x",
+                                         "1.2.3.4.5:80" };
+  roster_table_t r = { 0 };
+  backend_t b;
+  err_t e = { 0 };
+
+  for (size_t i = 0; i < sizeof address / sizeof *address; i++)
+    {
+      b = heartbeat ("a", address[i], 10, 1);
+      ck_assert_msg (!roster_heartbeat (&r, &b, 100, &e), "%s", address[i]);
+      ck_assert_int_eq (e.code, ERR_RANGE);
+    }
+  const int64_t slots[] = { -5, INT64_C (2147483648), INT64_MAX };
+  for (int i = 0; i < 3; i++)
+    {
+      b = heartbeat ("a", "127.0.0.1:1", 10, 1);
+      b.slots = slots[i];
+      ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+    }
+  b = heartbeat ("a", "127.0.0.1:1", INT64_MAX, 1);
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  b = heartbeat ("a", "127.0.0.1:1", 10, INT64_MAX);
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  b = heartbeat ("a b", "127.0.0.1:1", 10, 1);
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  b = heartbeat ("a\r\nb", "127.0.0.1:1", 10, 1);
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  b = heartbeat ("a", "127.0.0.1:1", 10, 1);
+  b.age = INT64_MIN;
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  ck_assert_uint_eq (r.n, 0);
+  roster_free (&r);
+}
+END_TEST
+
+/* Guards against an odd entry under the id of a live database: a sequence
+   number far ahead made each heartbeat of the database count as late.  */
+START_TEST (odd_sequence_number_keeps_the_database)
+{
+  roster_table_t r = { 0 };
+  backend_t b = heartbeat ("a", "127.0.0.1:1", 10, 5);
+  err_t e = { 0 };
+
+  ck_assert (roster_heartbeat (&r, &b, 100, &e));
+  b.seq = 5 + 2 * (int64_t)SEQ_JUMP_MAX;
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  ck_assert_int_eq (e.code, ERR_RANGE);
+  b.seq = 6;
+  b.leaving = true;
+  ck_assert (roster_heartbeat (&r, &b, 100, &e));
+  ck_assert (roster_find (&r, STR ("a"))->leaving);
+  roster_free (&r);
+}
+END_TEST
+
+/* Guards against a search of the whole roster for each heartbeat, and against
+   an index that loses entries when the roster grows or shrinks.  */
+START_TEST (roster_finds_each_of_many)
+{
+  roster_table_t r = { 0 };
+  char id[32], address[32];
+  err_t e = { 0 };
+  enum
+  {
+    MANY = 3400
+  };
+
+  for (int i = 0; i < MANY; i++)
+    {
+      snprintf (id, sizeof id, "i-%d", i);
+      snprintf (address, sizeof address, "10.0.0.1:%d", i + 1);
+      backend_t b = heartbeat (id, address, 10, 1);
+      ck_assert (roster_heartbeat (&r, &b, i < MANY / 2 ? 0 : 100000, &e));
+    }
+  for (int i = 0; i < 3; i++)
+    roster_expire (&r, ROSTER_TIMEOUT + ROSTER_RETENTION + 1 + i);
+  ck_assert_uint_eq (r.n, MANY / 2);
+  for (int i = 0; i < MANY; i++)
+    {
+      snprintf (id, sizeof id, "i-%d", i);
+      const server_t *s = roster_find (&r, str_of (id));
+      ck_assert ((s != NULL) == (i >= MANY / 2));
+      ck_assert (s == NULL || strcmp (s->id, id) == 0);
+    }
+  roster_free (&r);
+}
+END_TEST
+
 /* Guards against an invalid heartbeat that changes the roster.  */
 START_TEST (unusable_heartbeat_is_refused)
 {
   roster_table_t r = { 0 };
-  backend_t b = heartbeat ("", "h:1", 1, 1);
+  backend_t b = heartbeat ("", "127.0.0.1:1", 1, 1);
   err_t e = { 0 };
 
   ck_assert (!roster_heartbeat (&r, &b, 100, &e));
   ck_assert_int_eq (e.code, ERR_RANGE);
-  b = heartbeat ("a", "h:1", 1, -1);
+  b = heartbeat ("a", "127.0.0.1:1", 1, -1);
   ck_assert (!roster_heartbeat (&r, &b, 100, &e));
   ck_assert_uint_eq (r.n, 0);
   roster_free (&r);
@@ -203,9 +322,9 @@
 static void
 fixture_init (fixture_t *s)
 {
-  backend_t p = heartbeat ("p", "h:1", 1, 1);
-  backend_t a = heartbeat ("a", "h:2", 1, 1);
-  backend_t b = heartbeat ("b", "h:3", 1, 1);
+  backend_t p = heartbeat ("p", "127.0.0.1:1", 1, 1);
+  backend_t a = heartbeat ("a", "127.0.0.1:2", 1, 1);
+  backend_t b = heartbeat ("b", "127.0.0.1:3", 1, 1);
   err_t e = { 0 };
 
   *s = (fixture_t){ .now = 10000 };
@@ -333,7 +452,7 @@
 START_TEST (leaving_primary_is_replaced)
 {
   fixture_t s;
-  backend_t p = heartbeat ("p", "h:1", 1, 2);
+  backend_t p = heartbeat ("p", "127.0.0.1:1", 1, 2);
   err_t e = { 0 };
 
   fixture_init (&s);
@@ -351,7 +470,7 @@
 START_TEST (synchronous_commits_are_kept)
 {
   fixture_t s;
-  backend_t b = heartbeat ("b", "h:3", 1, 2);
+  backend_t b = heartbeat ("b", "127.0.0.1:3", 1, 2);
   err_t e = { 0 };
 
   fixture_init (&s);
@@ -393,6 +512,10 @@
   tcase_add_test (t, late_heartbeat_does_not_reactivate);
   tcase_add_test (t, later_start_takes_the_address);
   tcase_add_test (t, unusable_heartbeat_is_refused);
+  tcase_add_test (t, late_heartbeat_does_not_take_the_address_back);
+  tcase_add_test (t, odd_entries_are_refused);
+  tcase_add_test (t, odd_sequence_number_keeps_the_database);
+  tcase_add_test (t, roster_finds_each_of_many);
   tcase_add_test (t, failed_primary_is_replaced_by_the_most_advanced);
   tcase_add_test (t, primary_that_answers_others_is_kept);
   tcase_add_test (t, survey_ends_when_the_primary_answers);
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -590,6 +590,26 @@
 }
 END_TEST
 
+static bool
+reports_roster_one (void *arg)
+{
+  return ((const stage_t *)arg)->roster_reported == 1;
+}
+
+/* Guards against reports that name the last whole roster although changes were
+   received since: the control instance then answers each report with all
+   changes since that roster, for as long as the connection lasts.  */
+START_TEST (report_names_the_roster_after_changes)
+{
+  stage_t *s = stage_new (true);
+
+  s->roster_changes = true;
+  s->roster++;
+  ck_assert (stage_run (s, 1500, reports_roster_one, s));
+  stage_free (s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -625,6 +645,7 @@
   tcase_add_test (t, stop_closes_a_session_after_its_answer);
   tcase_add_test (t, cut_off_instance_is_not_ready);
   tcase_add_test (t, cut_off_with_a_replaced_primary_is_not_ready);
+  tcase_add_test (t, report_names_the_roster_after_changes);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
