--- a/include/rpc.h
+++ b/include/rpc.h
@@ -516,9 +516,10 @@
 
 /* ---- checks of records that others write ---- */
 
-#define BORN_MAX INT64_C (9999999999999) /* ms since 1970, of the year 2286   \
-                                          */
-#define SEQ_MAX (INT64_C (1) << 53)      /* exact in every JSON reader */
+#define BORN_MAX                                                              \
+  INT64_C (9999999999999)           /* ms since 1970, of the year 2286        \
+                                     */
+#define SEQ_MAX (INT64_C (1) << 53) /* exact in every JSON reader */
 
 /* backend_check: whether B can be used: names, address with a port, and
    numbers within their bounds.  ERR_RANGE with the field.  Wherever a record
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -273,12 +273,13 @@
         INT (reachability_t, ok_age), INT (reachability_t, fail_age) };
 TABLE_AS (reachability, "sight");
 
-static const field_t watch_fields[]
-    = { TEXT (watch_t, name),    INT (watch_t, seq),
-        INT (watch_t, version),  INT (watch_t, roster),
-        INT (watch_t, boot),     LIST (watch_t, reachability, reachability),
-        TEXT (watch_t, address), TEXT (watch_t, zone),
-        BOOL (watch_t, takes_changes) };
+static const field_t watch_fields[] = {
+  TEXT (watch_t, name),         INT (watch_t, seq),
+  INT (watch_t, version),       INT (watch_t, roster),
+  INT (watch_t, boot),          LIST (watch_t, reachability, reachability),
+  TEXT (watch_t, address),      TEXT (watch_t, zone),
+  BOOL (watch_t, takes_changes)
+};
 TABLE (watch);
 
 static const field_t watch_update_fields[]
