entry: a failed check proves nothing

A read on a replica was forwarded without proof when the check before it ended with an error, without a row, or with a row that can't be read, since an exchange began as proven.

Evidence: test_entry_xchg failed_check_proves_nothing, 4 cases, fails before (verdict 2, done) and passes after (unproven: the read goes to another database).

--- a/lib/entry/xchg.c
+++ b/lib/entry/xchg.c
@@ -6,7 +6,8 @@
 xchg_init (xchg_t *x, xplan_t plan)
 {
   *x = (xchg_t){ .plan = plan, .phase = plan.setup ? 0 : 1 };
-  x->covered = true;
+  /* A check that fails, or whose row can't be read, proves nothing.  */
+  x->covered = !plan.check;
 }
 
 void
--- a/test/test_entry_xchg.c
+++ b/test/test_entry_xchg.c
@@ -210,6 +210,34 @@
 }
 END_TEST
 
+/* Guards against a read that is forwarded without proof: the check ended with
+   an error, without a row, or with a row that can't be read.  */
+START_TEST (failed_check_proves_nothing)
+{
+  for (int i = 0; i < 4; i++)
+    {
+      client_t r;
+      buf_t b = { 0 };
+      start (&r, (xplan_t){ .kind = PLAN_READ, .check = true });
+      if (i == 0)
+        error_with (&b, "57014", 'I');
+      else if (i == 1)
+        answer (&b, "SELECT 0", 'I');
+      else
+        internal_row (&b, i == 2 ? "x" : "1", i == 2 ? "7" : "", "t");
+      pg_put_columns (&b, (const char *[]){ "a" }, 1);
+      pg_put_row (&b, (str_t[]){ STR ("x") }, 1);
+      answer (&b, "SELECT 1", 'I');
+      feed (&r, &b);
+      ck_assert_msg (r.v == XV_UNPROVEN, "case %d: %d", i, r.v);
+      ck_assert (!has (&r.out, 'D'));
+      ck_assert (!has (&r.out, 'C'));
+      end (&r);
+      buf_free (&b);
+    }
+}
+END_TEST
+
 /* Guards against a read on a primary whose lease has expired.  */
 START_TEST (primary_read_needs_lease)
 {
@@ -463,6 +491,7 @@
   tcase_add_test (t, write_without_confirmation);
   tcase_add_test (t, not_run_errors);
   tcase_add_test (t, read_needs_proof);
+  tcase_add_test (t, failed_check_proves_nothing);
   tcase_add_test (t, primary_read_needs_lease);
   tcase_add_test (t, keyed_write);
   tcase_add_test (t, batch_answers);
