httpd: kept connections shut no other caller out

Cause: each database keeps the connection of its heartbeats open. The HTTP server of a control instance took 256 connections; once databases held them all, the operator's calls waited in the accept queue for ever.

Now half of the process's descriptors (2,048 at most) may be connections, and when three quarters of them are open each is closed after its answer.

Evidence: test_httpd kept_connections_shut_nobody_out; before, caller 256 gets no answer; after, 300 callers are answered, also at a limit of 40.

--- a/include/httpd.h
+++ b/include/httpd.h
@@ -2,7 +2,10 @@
    loop.
 
    The server answers a request at once through HANDLE, or puts it into a
-   bounded ring, where it waits until another thread calls httpd_respond.  */
+   bounded ring, where it waits until another thread calls httpd_respond.
+
+   Connections are kept open between requests.  When three quarters of the limit
+   are open, each is closed after its answer, so that new callers get in.  */
 
 #ifndef HTTPD_H
 #define HTTPD_H
@@ -40,6 +43,7 @@
   /* Handles R in the server's thread; false to put it into the ring.  */
   bool (*handle) (void *arg, httpd_req_t *r);
   void *arg;
+  unsigned connections; /* at a time, at most; 0: half of the descriptors */
 } httpd_ops_t;
 
 /* httpd_new: listens on ADDRESS.  Requests that HANDLE does not answer go into
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -5,11 +5,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 enum
 {
-  MAX_CONNECTIONS = 256,
+  DESCRIPTORS_MAX = 4096, /* considered of those that the process may open */
+  /* Connections stay open after an answer while fewer than this share of the
+     limit are open.  Beyond it they are closed, so that callers that keep
+     theirs do not shut out the others.  */
+  KEEP_PERCENT = 75,
   IDLE_TIMEOUT = 15,      /* s without activity until a connection is closed */
   CONN_MEMORY = 16 << 10, /* bytes of a connection, for headers and buffers */
   STACK = 128 << 10       /* bytes, of the thread */
@@ -18,6 +23,7 @@
 struct httpd
 {
   struct MHD_Daemon *daemon;
+  unsigned limit; /* connections */
   ring_t *in;
   httpd_ops_t ops;
 };
@@ -51,6 +57,27 @@
   buf_adds (&r->reply, body);
 }
 
+/* Half of the descriptors stay for peers, backend servers and files.  */
+static unsigned
+connection_limit (void)
+{
+  struct rlimit r;
+  rlim_t n = DESCRIPTORS_MAX;
+
+  if (getrlimit (RLIMIT_NOFILE, &r) == 0 && r.rlim_cur < n)
+    n = r.rlim_cur;
+  return (unsigned)n / 2;
+}
+
+static bool
+is_crowded (const httpd_t *h)
+{
+  const union MHD_DaemonInfo *i
+      = MHD_get_daemon_info (h->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+  return i && i->num_connections > h->limit * KEEP_PERCENT / 100;
+}
+
 static enum MHD_Result
 respond (httpd_req_t *r)
 {
@@ -64,6 +91,8 @@
     MHD_add_response_header (m, "Content-Type", r->type.p);
   if (r->location.n)
     MHD_add_response_header (m, "Location", r->location.p);
+  if (is_crowded (r->server))
+    MHD_add_response_header (m, "Connection", "close");
   enum MHD_Result ok = MHD_queue_response (r->conn, r->status, m);
   MHD_destroy_response (m);
   return ok;
@@ -171,10 +200,11 @@
     return NULL;
   h->in = in;
   h->ops = *ops;
+  h->limit = ops->connections ? ops->connections : connection_limit ();
   h->daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
       serve, h, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)MAX_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+      h->limit, MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned)IDLE_TIMEOUT, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)CONN_MEMORY, MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK,
       MHD_OPTION_NOTIFY_COMPLETED, finished, h, MHD_OPTION_END);
--- a/test/test_httpd.c
+++ b/test/test_httpd.c
@@ -120,6 +120,65 @@
 }
 END_TEST
 
+/* Sends a request on a new connection and waits for the answer.  Returns the
+   descriptor, which stays open, or -1 without an answer in MS.  */
+static int
+request (const char *address, int ms)
+{
+  static const char text[] = "GET /quick HTTP/1.1\r\nHost: h\r\n\r\n";
+  struct timeval limit = { ms / 1000, ms % 1000 * 1000 };
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  char answer[256];
+  int port;
+
+  ck_assert_int_eq (sscanf (address, "127.0.0.1:%d", &port), 1);
+  sa.sin_port = htons ((uint16_t)port);
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_ge (fd, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  ck_assert_int_eq (connect (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (send (fd, text, sizeof text - 1, 0), sizeof text - 1);
+  if (recv (fd, answer, sizeof answer, 0) > 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Guards against callers that are shut out by others: databases keep the
+   connection of their heartbeats open, and once there were 256 the operator's
+   calls got no answer, so that a fleet never got its configuration.  */
+START_TEST (kept_connections_shut_nobody_out)
+{
+  enum
+  {
+    CALLERS = 300
+  };
+  apr_pool_t *pool;
+  char address[32];
+  err_t e = { 0 };
+  const unsigned limit[] = { 0, 40 };
+  int fd[CALLERS];
+
+  apr_initialize ();
+  apr_pool_create (&pool, NULL);
+  log_open ("test", 0);
+  for (int k = 0; k < 2; k++)
+    {
+      const httpd_ops_t ops = { handle, NULL, limit[k] };
+      free_address (address, sizeof address);
+      ck_assert (httpd_new (pool, str_of (address), NULL, &ops, &e));
+      for (int i = 0; i < CALLERS; i++)
+        {
+          fd[i] = request (address, 3000);
+          ck_assert_msg (fd[i] >= 0, "limit %u, caller %d", limit[k], i);
+        }
+      for (int i = 0; i < CALLERS; i++)
+        close (fd[i]);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -127,6 +186,7 @@
   TCase *t = tcase_create ("calls");
 
   tcase_add_test (t, calls_are_answered);
+  tcase_add_test (t, kept_connections_shut_nobody_out);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
