--- a/include/httpd.h
+++ b/include/httpd.h
@@ -4,8 +4,9 @@
    The server answers a request at once through HANDLE, or puts it into a
    bounded ring, where it waits until another thread calls httpd_respond.
 
-   Connections are kept open between requests.  When three quarters of the limit
-   are open, each is closed after its answer, so that new callers get in.  */
+   Connections are kept open between requests.  When three quarters of the
+   limit are open, each is closed after its answer, so that new callers get in.
+ */
 
 #ifndef HTTPD_H
 #define HTTPD_H
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -204,10 +204,10 @@
   h->daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
       serve, h, MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-      h->limit, MHD_OPTION_CONNECTION_TIMEOUT,
-      (unsigned)IDLE_TIMEOUT, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)CONN_MEMORY, MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK,
-      MHD_OPTION_NOTIFY_COMPLETED, finished, h, MHD_OPTION_END);
+      h->limit, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONN_MEMORY,
+      MHD_OPTION_THREAD_STACK_SIZE, (size_t)STACK, MHD_OPTION_NOTIFY_COMPLETED,
+      finished, h, MHD_OPTION_END);
   if (h->daemon == NULL)
     {
       close (fd);
