proxy: order waiting statements by what can still be in time

Causes: - Statements waited by priority and arrival. A primary with three quarters of the capacity it needs made all of them late. Now those that can still be in time go first, then by priority, then the shorter kind. - Nothing was refused before its deadline. The rates at which statements come to the queue and leave it tell which can't be answered; these are refused at once with a promise. An outage, where nothing leaves, is waited out. - Reads were sent to replicas known to lag.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -221,6 +221,75 @@
 /* place_leader: places a statement that only the primary may serve.  */
 place_t place_leader (const candidate_t *s, int n);
 
+/* ---- statements that wait ---- */
+
+/* A statement that no database can run yet.  */
+typedef struct
+{
+  msec_t arrived;
+  msec_t target;   /* an answer after this time is late */
+  msec_t deadline; /* no answer counts after this time */
+  int64_t priority;
+  double ms; /* time at a database that statements of this kind take */
+} waiter_t;
+
+/* waiter_cmp: <0 when A is to run before B at NOW.  First those that can still
+   be answered in time, then by priority, then the shorter kind, then by
+   arrival.  */
+int waiter_cmp (const waiter_t *a, const waiter_t *b, msec_t now);
+enum
+{
+  WAITER_KINDS = 3,  /* kinds of statements of one service */
+  FLOW_WINDOW = 300, /* ms that rates are taken over, up to twice that */
+  FLOW_MIN = 150     /* ms; over a shorter time rates are unknown */
+};
+
+typedef struct
+{
+  msec_t since;
+  int arrived[WAITER_KINDS];
+  int started;
+} flow_window_t;
+
+/* Statements that came to the queue of a service and that left it for a
+   database, while it was not empty.  Zeroed: empty.  */
+typedef struct
+{
+  bool active;
+  flow_window_t last;
+  flow_window_t current;
+  int64_t priority[WAITER_KINDS]; /* of the kind's last arrival */
+  double ms[WAITER_KINDS];
+} flow_t;
+
+/* flow_arrived: W of KIND came to the queue.  flow_started: one left it for a
+   database.  flow_empty: the queue is empty.  */
+void flow_arrived (flow_t *f, int kind, const waiter_t *w, msec_t now);
+void flow_started (flow_t *f, msec_t now);
+void flow_empty (flow_t *f);
+
+/* waiter_hopeless: whether W, with AHEAD statements before it, cannot be
+   answered before its deadline at the present rates.  False while nothing
+   leaves the queue: that is an outage, whose end the rates don't tell.  */
+bool waiter_hopeless (const waiter_t *w, const flow_t *f, int ahead,
+                      msec_t now);
+
+/* What is known of the positions that a replica lacks.  */
+typedef struct
+{
+  pos_t lacks;   /* lowest position that it refused since UNTIL was set */
+  msec_t until;  /* not asked for LACKS or a later one before this time */
+  msec_t delay;  /* ms, doubles with each refusal in a row */
+  pos_t reached; /* last position that it reported */
+} progress_t;
+
+/* progress_refused: the replica lacked NEED.  */
+void progress_refused (progress_t *g, pos_t need, msec_t now);
+/* progress_reached: it reported POS.  */
+void progress_reached (progress_t *g, pos_t pos);
+/* progress_may_have: whether it is worth asking it for NEED.  */
+bool progress_may_have (const progress_t *g, pos_t need, msec_t now);
+
 /* ---- owners of scarce connections ---- */
 
 enum
--- a/lib/proxy/attempt.c
+++ b/lib/proxy/attempt.c
@@ -1,6 +1,7 @@
 #include "local.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 
 /* Attempts to run a statement, and the queue of those that no database can run
    yet.  place.c chooses the database.  */
@@ -19,23 +20,32 @@
 
 /* ---- queue ---- */
 
+static waiter_t
+waiter_of (const session_t *s)
+{
+  const request_t *r = &s->req;
+  msec_t began = s->tx == TX_NONE ? r->arrived : s->tx_began;
+
+  return (waiter_t){ .arrived = r->arrived,
+                     .target = began + s->route.target,
+                     .deadline = r->deadline,
+                     .priority = s->route.priority,
+                     .ms = s->service->kind_ms[s->route.freshness] };
+}
+
 static void
 enqueue (session_t *s)
 {
-  session_t **at = &s->service->waiting;
-  request_t *r = &s->req;
+  service_t *v = s->service;
+  waiter_t w = waiter_of (s);
 
-  if (r->waiting)
+  if (s->req.waiting)
     return;
-  /* By priority, then by arrival.  */
-  while (*at
-         && ((*at)->route.priority < s->route.priority
-             || ((*at)->route.priority == s->route.priority
-                 && (*at)->req.arrived <= r->arrived)))
-    at = &(*at)->next_waiting;
-  s->next_waiting = *at;
-  *at = s;
-  r->waiting = true;
+  flow_arrived (&v->flow, (int)s->route.freshness, &w, s->proxy->now);
+  s->next_waiting = v->waiting;
+  v->waiting = s;
+  v->nwaiting++;
+  s->req.waiting = true;
 }
 
 void
@@ -49,10 +59,23 @@
   while (*at && *at != s)
     at = &(*at)->next_waiting;
   if (*at)
-    *at = s->next_waiting;
+    {
+      *at = s->next_waiting;
+      if (--s->service->nwaiting == 0)
+        flow_empty (&s->service->flow);
+    }
   s->req.waiting = false;
 }
 
+static void
+refuse_waiting (session_t *s, const char *why)
+{
+  if (s->tx != TX_NONE)
+    statement_abort (s, str_of (why));
+  else
+    statement_fail (s, FAIL_BUSY, str_of (why));
+}
+
 /* ---- placement ---- */
 
 void
@@ -61,6 +84,8 @@
   request_t *r = &s->req;
 
   r->last_fail = f;
+  if (f == FAIL_LAGGING && d)
+    progress_refused (&d->progress, r->need, s->proxy->now);
   log_event (EV_RETRY,
              "request=" STR_FMT " database=%s cause=%s ms=%lld attempt=%d "
              "need=%lld.%lld",
@@ -115,6 +140,8 @@
   link_t *k = link_acquire (d, s, p->now);
   msec_t left = r->deadline - p->now;
 
+  if (r->waiting)
+    flow_started (&s->service->flow, p->now);
   statement_dequeue (s);
   if (r->attempts++ == 0)
     metrics_started (s);
@@ -170,19 +197,61 @@
         statement_fail (s, f, STR ("no database could run it"));
       return;
     }
-  if (!try_place (s))
-    enqueue (s);
+  if (try_place (s))
+    return;
+  enqueue (s);
+  if (s->service->nwaiting > 1)
+    statement_place_queued (s->proxy, s->service);
+}
+
+/* ---- the queue after a change ---- */
+
+typedef struct
+{
+  session_t *session;
+  waiter_t w;
+  msec_t now;
+} queued_t;
+
+static int
+compare (const void *a, const void *b)
+{
+  const queued_t *x = a, *y = b;
+
+  return waiter_cmp (&x->w, &y->w, x->now);
+}
+
+static bool
+refuse_hopeless (session_t *s, const waiter_t *w, int ahead)
+{
+  if (!waiter_hopeless (w, &s->service->flow, ahead, s->proxy->now))
+    return false;
+  refuse_waiting (s, "too many statements wait");
+  return true;
 }
 
 void
 statement_place_queued (proxy_t *p, service_t *v)
 {
-  session_t *s, *next;
+  int n = 0, ahead[2] = { 0 };
+  queued_t *q;
 
-  (void)p;
-  for (s = v->waiting; s; s = next)
+  if (v->nwaiting == 0)
+    return;
+  q = malloc ((size_t)v->nwaiting * sizeof *q);
+  if (q == NULL)
+    abort ();
+  for (session_t *s = v->waiting; s; s = s->next_waiting)
+    q[n++] = (queued_t){ s, waiter_of (s), p->now };
+  qsort (q, (size_t)n, sizeof *q, compare);
+  for (int i = 0; i < n; i++)
     {
-      next = s->next_waiting;
-      try_place (s);
+      session_t *s = q[i].session;
+      if (try_place (s)
+          || refuse_hopeless (s, &q[i].w, ahead[s->req.needs_leader]))
+        continue;
+      ahead[0]++;
+      ahead[1] += s->req.needs_leader;
     }
+  free (q);
 }
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -157,6 +157,7 @@
   d->ms = 0;
   d->fail_at = d->ok_at = -1;
   d->avoid_until = d->backoff = d->full_at = 0;
+  d->progress = (progress_t){ 0 };
   d->born = b->born;
   d->seq = -1;
   if (d->service->leader == d)
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -12,9 +12,10 @@
 /* Times are in ms.  */
 enum
 {
-  NAME_LEN = 64,       /* bytes, for names of services, databases and zones */
-  CANDIDATES_MAX = 16, /* databases of a service that placement considers */
-  STEPS_MAX = 48,      /* steps in flight on one connection */
+  NAME_LEN = 64, /* bytes, for names of services, databases and zones */
+  FRESH_KINDS = FRESH_SESSION + 1,
+  CANDIDATES_MAX = 16,   /* databases of a service that placement considers */
+  STEPS_MAX = 48,        /* steps in flight on one connection */
   CONNECT_TIMEOUT = 700, /* for opening a connection to a database */
   ACK_TIMEOUT = 3000, /* without a TCP acknowledgement a connection is lost */
 
@@ -157,6 +158,7 @@
   msec_t ok_at;            /* time of the last answer; -1: never */
   msec_t fail_at;          /* time of the first failure since then; -1: none */
   msec_t full_at;          /* last refusal as too many connections; 0: none */
+  progress_t progress;     /* as a replica */
 };
 
 struct service
@@ -178,7 +180,11 @@
      confirmed.  */
   msec_t no_leader_since;
   samples_t samples;
-  session_t *waiting; /* by priority, then by arrival */
+  session_t *waiting; /* in no order */
+  int nwaiting;
+  double kind_ms[FRESH_KINDS]; /* usual time of a statement at a database, by
+                                  the freshness of its route; 0: unknown */
+  flow_t flow;                 /* of WAITING */
 };
 
 /* ---- other instances ---- */
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -87,6 +87,18 @@
   link_run (p, k, s);
 }
 
+/* The time of a kind leans to the shorter ones: it is what the database works,
+   without the time in the database's own queue.  */
+static void
+note_time (session_t *s, db_t *d, double ms)
+{
+  double *kind = &s->service->kind_ms[s->route.freshness];
+  double weight = ms < *kind ? 0.1 : 0.02;
+
+  d->ms = d->ms > 0 ? d->ms * 0.9 + ms * 0.1 : ms + 0.5;
+  *kind = *kind > 0 ? *kind + weight * (ms - *kind) : ms + 0.5;
+}
+
 static void
 answer_no_tx (session_t *s, link_t *k, pos_t pos)
 {
@@ -100,8 +112,8 @@
     f = FAIL_LAGGING;
   if (f == FAIL_NONE)
     {
-      double ms = (double)(p->now - k->sent);
-      d->ms = d->ms > 0 ? d->ms * 0.9 + ms * 0.1 : ms + 0.5;
+      note_time (s, d, (double)(p->now - k->sent));
+      progress_reached (&d->progress, pos);
       if (!r->read_only)
         {
           s->last_write = pos;
