control: carry a thousand services and three thousand databases

Their configuration has 702,451 bytes; a record of the log took 512 KB, and the submission was answered with 503 for ever. Records take 6 MB now, frames 8 MB with at most 2^20 values, bodies 4 MB; what is larger is refused with 413. - While a whole roster or configuration was on its way over a slow link, each report sent before its arrival was answered with another one (test_watchers roster_on_its_way_is_not_sent_again); reports now count the updates received. An entry instance that was receiving its first update for more than 800 ms moved on and began again; bytes count as signs of life now. - The leader compared each service with each service of the configuration, each probe with each probe and each server, in every tick; takeovers beyond 256 services were dropped without a line. Now by hash, up to 4,096 services and a line beyond. - Primaries were probed four times a second each, however many. Those that entry instances reported as answering need no probe, a reported failure is probed at once, and 400 probes a second are the most. - Entry instances searched services by name in a list.

--- a/include/cell.h
+++ b/include/cell.h
@@ -19,6 +19,7 @@
   CELL_NOT_LEADER,  /* send it to the leader at ADDRESS */
   CELL_UNAVAILABLE, /* no leader, or no quorum in time: try another
                        instance; a submission may still be committed */
+  CELL_TOO_LARGE,   /* the submission does not fit into a record of the log */
   CELL_INVALID      /* the error says why */
 } cell_status_t;
 
--- a/include/httpd.h
+++ b/include/httpd.h
@@ -16,7 +16,7 @@
 
 enum
 {
-  HTTPD_BODY_MAX = 1 << 20 /* bytes of a request; more gives status 413 */
+  HTTPD_BODY_MAX = 4 << 20 /* bytes of a request; more gives status 413 */
 };
 
 typedef struct httpd httpd_t;
--- a/include/raft.h
+++ b/include/raft.h
@@ -30,7 +30,7 @@
   RAFT_ELECTION_MAX = 500,      /* ms; longest election timeout; a leader steps
                                    down when no quorum answers for longer than
                                    this */
-  RAFT_MAX_RECORD = 512 << 10,  /* bytes of one record */
+  RAFT_MAX_RECORD = 6 << 20,    /* bytes of one record */
   RAFT_MAX_SNAPSHOT = 64 << 20, /* bytes */
   RAFT_MAX_UNCOMMITTED = 1024,  /* entries not yet committed */
   RAFT_MAX_BATCH = 256 << 10    /* bytes of entries in one message */
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -15,7 +15,8 @@
 
 enum
 {
-  RPC_MAX_FRAME = 1 << 20, /* bytes */
+  RPC_MAX_FRAME = 8 << 20, /* bytes; a configuration of thousands of routes
+                              travels in one */
   RPC_MAX_LIST
   = 16384, /* records; bounds the memory that decoding a frame allocates */
   RPC_VERSION = 1,
@@ -463,6 +464,7 @@
   str_t zone;
   bool takes_changes; /* the sender merges changes of endpoints; an instance of
                          an older build needs the whole list each time */
+  int64_t updates;    /* received on this connection when this was sent */
 } watch_t;
 
 /* Reply to a watch_t; also sent unasked after a change.  */
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -31,6 +31,8 @@
   c->boot = (int64_t)(rng_system_seed () >> 1);
   rng_init (&c->rng, rng_system_seed ());
   c->endpoints.by_address = apr_hash_make (pool);
+  c->takeover_by_service = apr_hash_make (pool);
+  c->probe_by_id = apr_hash_make (pool);
   c->sent_bytes = counter_get ("pimentopost_control_update_bytes_total",
                                "Bytes of updates sent to entry instances.");
   c->sent_updates = counter_get ("pimentopost_control_updates_total",
@@ -99,6 +101,18 @@
       return;
 }
 
+/* Whole rosters repair what changes missed; their cost is bounded by sending
+   large ones less often, but several times in ROSTER_TIMEOUT.  */
+static msec_t
+roster_interval (const cell_t *c)
+{
+  msec_t t = (msec_t)c->roster.n * ROSTER_RECORD_TIME;
+
+  return t < ROSTER_INTERVAL      ? ROSTER_INTERVAL
+         : t > ROSTER_TIMEOUT / 4 ? ROSTER_TIMEOUT / 4
+                                  : t;
+}
+
 msec_t
 cell_turn (void *arg, msec_t now)
 {
@@ -124,7 +138,7 @@
   apply_committed (c);
   raft_observe (c->raft, &c->observed);
   pending_check (c);
-  if (now - c->rosters_sent_at >= ROSTER_INTERVAL)
+  if (now - c->rosters_sent_at >= roster_interval (c))
     {
       roster_expire (&c->roster, now);
       roster_reset_sent (c);
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -44,7 +44,11 @@
   NO_LEADER_LIMIT = 1000, /* ms without a leader until a member sends join
                              requests, since it may have been removed */
   PENDING_MAX = 64,       /* submissions and reads at a time */
-  SERVICES_MAX = 256,
+  RECORD_OVERHEAD = 1024, /* bytes of a record beside its contents */
+  SERVICES_MAX = 4096,
+  PROBES_PER_SECOND = 400, /* of primaries, by the leader; with more of them
+                              each is probed less often */
+  ROSTER_RECORD_TIME = 5,  /* ms of ROSTER_INTERVAL for each backend server */
   FULL_PER_TICK = 4 /* entry instances that get a whole roster in one tick of
                        the log: encoding more would delay elections */
 };
@@ -68,6 +72,7 @@
   int64_t seq;
   int64_t version;
   int64_t roster_known; /* revision of the roster that it has, -1: none */
+  int64_t updates;      /* sent over this connection */
   int64_t members_sent; /* number of the membership sent last */
   bool leader_sent;     /* whether a leader was known, as sent last */
   char endpoint[64];
@@ -123,6 +128,16 @@
   msec_t asked_at; /* last hello requests */
 } join_t;
 
+/* A list of the records that changed, with views into the roster.  */
+typedef struct
+{
+  backend_t *v;
+  size_t n;
+  msec_t at;
+  int64_t known;
+  int64_t revision;
+} changes_t;
+
 typedef struct
 {
   int64_t ticket; /* 0: free */
@@ -136,6 +151,7 @@
 typedef struct probe
 {
   struct probe *next;
+  struct probe *prev;
   struct cell *cell;
   char id[FLEET_NAME_SIZE];
   char service[FLEET_NAME_SIZE];
@@ -204,13 +220,18 @@
   /* Local state.  */
   int64_t boot; /* random, new at each start */
   roster_table_t roster;
+  changes_t changes;         /* listed last */
   int64_t recorded_revision; /* of the roster in the log, -1: not written by
                                 this instance */
   msec_t recorded_at;
   raft_observed_t observed; /* by raft_observe, which logs changes */
-  takeover_t takeover[SERVICES_MAX];
+  takeover_t *takeover[SERVICES_MAX];
   size_t ntakeover;
+  apr_hash_t *takeover_by_service;
+  int64_t takeovers_version; /* of the configuration that they follow */
   dbprobe_t *probes;
+  apr_hash_t *probe_by_id;
+  int nprimary;            /* primaries probed in the last tick */
   int64_t probed_revision; /* of the roster that PROBES follow, -1: none */
   counter_t *sent_bytes;
   counter_t *sent_updates;
@@ -256,7 +277,6 @@
    instance when the store failed.  */
 bool cell_check (cell_t *c, bool ok);
 bool cell_propose (cell_t *c, const fleet_record_t *r, int64_t *index);
-int64_t cell_sync_replicas (const cell_t *c, const char *service);
 void roster_record (cell_t *c);
 /* roster_refused: logs and counts a record from SOURCE that is left out.  */
 void roster_refused (cell_t *c, const backend_t *b, const char *source,
@@ -294,6 +314,8 @@
 /* probe.c */
 void probes_tick (cell_t *c);
 void probes_stop (cell_t *c);
+/* probe_now: probes database ID, the primary of its service, at once.  */
+void probe_now (cell_t *c, str_t id);
 /* probe_survey: requests the positions of SERVICE's other databases.  */
 void probe_survey (cell_t *c, const char *service);
 /* takeovers.c */
--- a/lib/cell/message.c
+++ b/lib/cell/message.c
@@ -27,6 +27,8 @@
       takeover_t *t = takeover_of (c, s->service);
       if (t && s->ok_age >= 0 && s->fail_age < 0)
         takeover_report (t, s->id, c->now - s->ok_age);
+      else if (s->fail_age >= 0)
+        probe_now (c, s->id);
     }
 }
 
@@ -44,6 +46,15 @@
   peers_send (c, l->address, MSG_WATCH, &copy, false);
 }
 
+/* A report that was sent before the last update arrived says nothing of that
+   one.  On a slow link the update takes longer than the time between reports,
+   and would be sent again for each of them.  */
+static bool
+reflects_updates (const remote_t *from, const watch_t *m)
+{
+  return !m->takes_changes || m->updates == from->updates;
+}
+
 static void
 receive_report (cell_t *c, remote_t *from, const watch_t *m)
 {
@@ -53,14 +64,15 @@
     forward_reports (c, m);
   if (m->seq == 0)
     return;
-  if (!from->is_entry || m->boot != c->boot)
-    from->roster_known = -1;
-  else
-    from->roster_known = m->roster;
+  if (!from->is_entry || reflects_updates (from, m))
+    {
+      from->roster_known
+          = from->is_entry && m->boot == c->boot ? m->roster : -1;
+      from->version = m->version;
+    }
   from->is_entry = true;
   endpoint_report (c, from, m);
   from->seq = m->seq;
-  from->version = m->version;
   update_send (c, from);
 }
 
--- a/lib/cell/probe.c
+++ b/lib/cell/probe.c
@@ -25,6 +25,15 @@
     p->expected[p->nexpected++] = (uint8_t)kind;
 }
 
+/* ms between probes of one primary.  */
+static msec_t
+probe_interval (const cell_t *c)
+{
+  msec_t t = (msec_t)c->nprimary * 1000 / PROBES_PER_SECOND;
+
+  return t > PROBE_INTERVAL ? t : PROBE_INTERVAL;
+}
+
 /* Records the result of the request in progress.  */
 static void
 report (dbprobe_t *p, bool ok, bool refused)
@@ -34,7 +43,7 @@
   msec_t sent = p->request_at >= 0 ? p->request_at : c->now;
 
   p->request_at = -1;
-  p->next_at = c->now + PROBE_INTERVAL;
+  p->next_at = c->now + (ok ? probe_interval (c) : PROBE_INTERVAL);
   if (t)
     takeover_probe (t, str_of (p->id), ok, refused, sent, c->now);
 }
@@ -197,13 +206,9 @@
 /* ---- databases to probe ---- */
 
 static dbprobe_t *
-find (cell_t *c, const char *id)
+find (const cell_t *c, str_t id)
 {
-  dbprobe_t *p = c->probes;
-
-  while (p && strcmp (p->id, id) != 0)
-    p = p->next;
-  return p;
+  return apr_hash_get (c->probe_by_id, id.p, (apr_ssize_t)id.n);
 }
 
 static void
@@ -221,17 +226,22 @@
   memcpy (p->service, s->service, sizeof p->service);
   memcpy (p->address, s->address, sizeof p->address);
   p->next = c->probes;
+  if (c->probes)
+    c->probes->prev = p;
   c->probes = p;
+  apr_hash_set (c->probe_by_id, p->id, (apr_ssize_t)strlen (p->id), p);
 }
 
 static void
 remove_probe (cell_t *c, dbprobe_t *p)
 {
-  dbprobe_t **at = &c->probes;
-
-  while (*at != p)
-    at = &(*at)->next;
-  *at = p->next;
+  if (p->prev)
+    p->prev->next = p->next;
+  else
+    c->probes = p->next;
+  if (p->next)
+    p->next->prev = p->prev;
+  apr_hash_set (c->probe_by_id, p->id, (apr_ssize_t)strlen (p->id), NULL);
   disconnect (p);
   free (p);
 }
@@ -262,11 +272,21 @@
   for (size_t i = 0; i < c->roster.n; i++)
     {
       const server_t *s = &c->roster.at[i];
-      if (s->changed > followed && !s->gone && find (c, s->id) == NULL)
+      if (s->changed > followed && !s->gone
+          && find (c, str_of (s->id)) == NULL)
         add (c, s);
     }
 }
 
+void
+probe_now (cell_t *c, str_t id)
+{
+  dbprobe_t *p = find (c, id);
+
+  if (p && p->is_primary)
+    p->next_at = c->now;
+}
+
 void
 probe_survey (cell_t *c, const char *service)
 {
@@ -281,6 +301,19 @@
       }
 }
 
+/* A primary that answers entry instances needs no probe.  */
+static bool
+is_due (const dbprobe_t *p)
+{
+  const cell_t *c = p->cell;
+  const takeover_t *t = p->takeover;
+
+  if (p->survey || t == NULL || t->fail_since >= 0)
+    return c->now >= p->next_at;
+  return c->now >= p->next_at
+         && c->now - t->reported_ok_at >= probe_interval (c);
+}
+
 static void
 tick_one (dbprobe_t *p)
 {
@@ -293,7 +326,7 @@
       report (p, false, false);
       p->next_at = c->now;
     }
-  if (!needed || p->request_at >= 0 || c->now < p->next_at)
+  if (!needed || p->request_at >= 0 || !is_due (p))
     return;
   if (p->stream == NULL)
     dial (p);
@@ -304,14 +337,18 @@
 void
 probes_tick (cell_t *c)
 {
+  int n = 0;
+
   if (c->probed_revision != c->roster.revision)
     follow_roster (c);
   for (dbprobe_t *p = c->probes; p; p = p->next)
     {
       const takeover_t *t = p->takeover;
       p->is_primary = t && strcmp (t->primary, p->id) == 0;
+      n += p->is_primary;
       tick_one (p);
     }
+  c->nprimary = n;
 }
 
 void
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -89,20 +89,6 @@
              line);
 }
 
-/* Replicas that hold a commit of SERVICE before it is acknowledged.  */
-int64_t
-cell_sync_replicas (const cell_t *c, const char *service)
-{
-  for (size_t i = 0; c->decoded_setup && i < c->decoded_setup->services.n; i++)
-    {
-      const service_entry_t *v
-          = LIST_AT (c->decoded_setup->services, service_entry_t, i);
-      if (str_eq (v->name, str_of (service)))
-        return v->sync_replicas;
-    }
-  return 0;
-}
-
 static void
 apply_setup (cell_t *c, int64_t version, str_t setup, str_t document)
 {
@@ -354,6 +340,11 @@
       answer (c, ticket, CELL_OK);
       return;
     }
+  if (setup.n + document.n + RECORD_OVERHEAD > RAFT_MAX_RECORD)
+    {
+      answer (c, ticket, CELL_TOO_LARGE);
+      return;
+    }
   pending_t *p = pending_new (c, ticket);
   if (p == NULL)
     {
--- a/lib/cell/takeovers.c
+++ b/lib/cell/takeovers.c
@@ -1,17 +1,61 @@
 #include "local.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 takeover_t *
 takeover_of (cell_t *c, str_t service)
 {
-  for (size_t i = 0; i < c->ntakeover; i++)
-    if (str_eq (str_of (c->takeover[i].service), service))
-      return &c->takeover[i];
+  takeover_t *t = apr_hash_get (c->takeover_by_service, service.p,
+                                (apr_ssize_t)service.n);
+
+  if (t)
+    return t;
   if (c->ntakeover == SERVICES_MAX || service.n >= FLEET_NAME_SIZE)
-    return NULL;
-  takeover_init (&c->takeover[c->ntakeover], service, c->now);
-  return &c->takeover[c->ntakeover++];
+    {
+      log_event (EV_SERVICES_FULL, "service=" STR_FMT " services=%d",
+                 STR_ARG (service), SERVICES_MAX);
+      return NULL;
+    }
+  t = malloc (sizeof *t);
+  if (t == NULL)
+    abort ();
+  takeover_init (t, service, c->now);
+  c->takeover[c->ntakeover++] = t;
+  apr_hash_set (c->takeover_by_service, t->service,
+                (apr_ssize_t)strlen (t->service), t);
+  c->takeovers_version = -1;
+  return t;
+}
+
+static void
+takeovers_free (cell_t *c)
+{
+  apr_hash_clear (c->takeover_by_service);
+  while (c->ntakeover)
+    free (c->takeover[--c->ntakeover]);
+}
+
+/* Sets the number of synchronous replicas, after a change of the configuration
+   or of the services.  */
+static void
+follow_setup (cell_t *c)
+{
+  const setup_t *s = c->decoded_setup;
+
+  if (c->takeovers_version == c->version)
+    return;
+  c->takeovers_version = c->version;
+  for (size_t i = 0; i < c->ntakeover; i++)
+    c->takeover[i]->sync_replicas = 0;
+  for (size_t i = 0; s && i < s->services.n; i++)
+    {
+      const service_entry_t *v = LIST_AT (s->services, service_entry_t, i);
+      takeover_t *t = apr_hash_get (c->takeover_by_service, v->name.p,
+                                    (apr_ssize_t)v->name.n);
+      if (t)
+        t->sync_replicas = v->sync_replicas;
+    }
 }
 
 static void
@@ -60,8 +104,8 @@
 {
   if (!raft_leader_ready (c->raft))
     {
-      c->ntakeover = 0;
       probes_stop (c);
+      takeovers_free (c);
       return;
     }
   for (size_t i = 0;
@@ -69,13 +113,11 @@
     if (!c->roster.at[i].gone)
       takeover_of (c, str_of (c->roster.at[i].service));
   probes_tick (c);
+  follow_setup (c);
   for (size_t i = 0; i < c->ntakeover; i++)
     {
-      c->takeover[i].sync_replicas
-          = cell_sync_replicas (c, c->takeover[i].service);
-      takeover_action_t a
-          = takeover_tick (&c->takeover[i], &c->roster, c->now);
-      execute (c, &c->takeover[i], &a);
+      takeover_action_t a = takeover_tick (c->takeover[i], &c->roster, c->now);
+      execute (c, c->takeover[i], &a);
     }
 }
 
--- a/lib/cell/update.c
+++ b/lib/cell/update.c
@@ -65,6 +65,7 @@
   size_t before = buf_len (stream_out (r->stream));
 
   peers_reply (c, r, MSG_WATCH_UPDATE, n);
+  r->updates++;
   count_sent (c, r, before);
 }
 
@@ -119,12 +120,30 @@
   };
 }
 
+/* The records of the roster that changed after KNOWN.  Most receivers know the
+   same revision, so the last list is kept for the others of the same turn.  */
+static list_t
+roster_changes (cell_t *c, int64_t known)
+{
+  changes_t *g = &c->changes;
+
+  if (g->v && g->at == c->now && g->known == known
+      && g->revision == c->roster.revision)
+    return (list_t){ g->v, g->n };
+  free (g->v);
+  g->v = list_new (c->roster.n, sizeof *g->v);
+  g->n = roster_list (&c->roster, known, c->now, g->v, c->roster.n);
+  g->at = c->now;
+  g->known = known;
+  g->revision = c->roster.revision;
+  return (list_t){ g->v, g->n };
+}
+
 static void
 send_update (cell_t *c, remote_t *r)
 {
   const members_t *m = raft_member_list (c->raft);
   watch_update_t n = update_head (c, r);
-  backend_t *v = NULL;
   endpoint_t *x = NULL;
 
   n.full = r->roster_known < 0;
@@ -136,18 +155,13 @@
   if (r->members_sent != c->observed.members_changes)
     n.control = m->list;
   if (n.full || r->roster_known < c->roster.revision)
-    {
-      n.backends.v = v = list_new (c->roster.n, sizeof *v);
-      n.backends.n
-          = roster_list (&c->roster, r->roster_known, c->now, v, c->roster.n);
-    }
+    n.backends = roster_changes (c, r->roster_known);
   reply_counted (c, r, &n);
   r->roster_known = c->roster.revision;
   r->leader_sent = n.has_leader;
   r->members_sent = c->observed.members_changes;
   if (n.setup.n)
     r->version = c->version;
-  free (v);
   free (x);
 }
 
@@ -214,8 +228,6 @@
 static void
 send_roster (cell_t *c, remote_t *r)
 {
-  size_t max = c->roster.n;
-  backend_t *v = list_new (max, sizeof *v);
   endpoint_t *x = list_new (c->endpoints.n, sizeof *x);
   roster_t m = { .from = c->conf.name,
                  .full = r->roster_sent < 0,
@@ -228,12 +240,10 @@
       r->endpoints_sent = c->endpoints.direct_revision;
       r->direct_sent_at = c->now;
     }
-  m.backends.v = v;
-  m.backends.n = roster_list (&c->roster, r->roster_sent, c->now, v, max);
+  m.backends = roster_changes (c, r->roster_sent);
   rpc_encode (stream_out (r->stream), MSG_ROSTER, &m);
   stream_flush (r->stream);
   r->roster_sent = c->roster.revision;
-  free (v);
   free (x);
 }
 
--- a/lib/fleet/takeover.c
+++ b/lib/fleet/takeover.c
@@ -165,6 +165,8 @@
 {
   takeover_action_t a = { .kind = kind, .token = t->token };
 
+  if (kind == TAKEOVER_NONE)
+    return a;
   snprintf (a.service, sizeof a.service, "%s", t->service);
   snprintf (a.id, sizeof a.id, "%s", t->chosen);
   return a;
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -4,30 +4,23 @@
 #include <stdlib.h>
 #include <string.h>
 
-service_t *
-service_find (proxy_t *p, const char *name)
-{
-  for (service_t *s = p->services; s; s = s->next)
-    if (strcmp (s->name, name) == 0)
-      return s;
-  return NULL;
-}
-
 service_t *
 service_get (proxy_t *p, str_t name)
 {
-  char key[NAME_LEN];
+  service_t *s;
 
-  snprintf (key, sizeof key, STR_FMT, STR_ARG (name));
-  service_t *s = service_find (p, key);
+  if (name.n >= NAME_LEN)
+    name.n = NAME_LEN - 1;
+  s = apr_hash_get (p->service_by_name, name.p, (apr_ssize_t)name.n);
   if (s)
     return s;
   s = apr_pcalloc (p->pool, sizeof *s);
   s->proxy = p;
-  snprintf (s->name, sizeof s->name, "%s", key);
+  snprintf (s->name, sizeof s->name, STR_FMT, STR_ARG (name));
   s->connections = 8;
   s->next = p->services;
   p->services = s;
+  apr_hash_set (p->service_by_name, s->name, (apr_ssize_t)strlen (s->name), s);
   return s;
 }
 
@@ -240,23 +233,25 @@
 static void
 remove_absent (proxy_t *p, const watch_update_t *n)
 {
+  apr_pool_t *pool;
+
+  apr_pool_create (&pool, p->pool);
+  apr_hash_t *listed = apr_hash_make (pool);
+  for (size_t i = 0; i < n->backends.n; i++)
+    {
+      const backend_t *b = LIST_AT (n->backends, backend_t, i);
+      apr_hash_set (listed, b->id.p, (apr_ssize_t)b->id.n, b);
+    }
   for (service_t *s = p->services; s; s = s->next)
     for (db_t *d = s->dbs; d; d = d->next)
-      {
-        bool listed = false;
-        for (size_t i = 0; i < n->backends.n && !listed; i++)
-          {
-            const backend_t *b = LIST_AT (n->backends, backend_t, i);
-            listed = str_eq (b->id, str_of (d->id));
-          }
-        if (!listed && !d->gone)
-          {
-            log_event (EV_DATABASE, "database=%s service=%s gone=1 named=0",
-                       d->id, s->name);
-            d->gone = true;
-            links_close_idle (p, d);
-          }
-      }
+      if (!d->gone && !apr_hash_get (listed, d->id, APR_HASH_KEY_STRING))
+        {
+          log_event (EV_DATABASE, "database=%s service=%s gone=1 named=0",
+                     d->id, s->name);
+          d->gone = true;
+          links_close_idle (p, d);
+        }
+  apr_pool_destroy (pool);
 }
 
 static void
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -282,9 +282,11 @@
   msec_t opened_at; /* STREAM was connected */
   msec_t retry_at;  /* next report that control asked for; 0: none */
   int attempts;     /* connections in a row without an update */
+  int64_t updates;  /* received on STREAM */
   int patience;     /* connections given up for silence, of late */
   rng_t rng;
   msec_t updated_at;    /* last update */
+  msec_t heard_at;      /* last bytes of one */
   msec_t has_leader_at; /* last update from an instance that has a leader */
   bool urgent;          /* report without waiting for the interval */
   bool lost; /* a loss of control was logged, and no update came since */
@@ -329,6 +331,7 @@
   msec_t owner_lost_at;      /* last loss of an owner while updates from
                                 control were overdue; 0: none */
   service_t *services;
+  apr_hash_t *service_by_name;
   link_t *closed_links; /* closed, freed at the next turn */
   watcher_t watch;
   apr_pool_t *setup_pool;
@@ -359,7 +362,6 @@
 
 /* fleet.c */
 service_t *service_get (proxy_t *p, str_t name);
-service_t *service_find (proxy_t *p, const char *name);
 void fleet_update (proxy_t *p, const watch_update_t *n);
 const route_entry_t *route_find (proxy_t *p, const char *host);
 /* leader_pick: the database believed to be the primary, or NULL.  */
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -94,7 +94,8 @@
                 .roster = w->roster,
                 .boot = w->boot,
                 .zone = p->conf.zone,
-                .takes_changes = true };
+                .takes_changes = true,
+                .updates = w->updates };
 
   if (forward_accepts (p))
     m.address = p->conf.peers;
@@ -124,7 +125,8 @@
 
   p->now = loop_now (p->loop);
   /* The time without updates starts again with each instance.  */
-  p->watch.updated_at = p->watch.opened_at = p->now;
+  p->watch.updates = 0;
+  p->watch.updated_at = p->watch.heard_at = p->watch.opened_at = p->now;
   send_report (p);
 }
 
@@ -205,6 +207,7 @@
                n->has_leader);
   w->lost = false;
   w->attempts = 0;
+  w->updates++;
   if (p->now - w->opened_at >= STEADY_TIME)
     w->patience = 0;
   /* Changes follow on the roster of the report before, or on a whole one.  */
@@ -235,7 +238,7 @@
   err_t e = { 0 };
   int got = 0;
 
-  p->now = loop_now (p->loop);
+  p->now = w->heard_at = loop_now (p->loop);
   while (w->stream && (got = rpc_frame (stream_in (w->stream), &body, &e)) > 0)
     {
       apr_pool_t *pool;
@@ -295,9 +298,10 @@
       wake_at (p, now + URGENT_INTERVAL);
       return;
     }
-  if (now - w->updated_at >= silence_limit (w)
+  /* The first update of a large fleet can take seconds on a slow link.  */
+  if (now - w->heard_at >= silence_limit (w)
       && now - w->sent_at < UPDATE_TIMEOUT
-      && w->sent_at > w->updated_at + REPORT_INTERVAL)
+      && w->sent_at > w->heard_at + REPORT_INTERVAL)
     {
       if (w->patience < PATIENCE_MAX)
         w->patience++;
--- a/lib/rpc/scan.c
+++ b/lib/rpc/scan.c
@@ -4,6 +4,7 @@
 {
   const unsigned char *p;
   size_t n;
+  size_t values; /* seen so far */
 } cursor_t;
 
 static bool
@@ -72,7 +73,7 @@
 {
   size_t len;
 
-  if (r->n == 0)
+  if (r->n == 0 || ++r->values > RPC_VALUES)
     return false;
   unsigned tag = *r->p;
   skip (r, 1);
@@ -93,7 +94,7 @@
 bool
 rpc_scan (str_t body)
 {
-  cursor_t r = { (const unsigned char *)body.p, body.n };
+  cursor_t r = { (const unsigned char *)body.p, body.n, 0 };
 
   return scan_value (&r, 0) && r.n == 0;
 }
--- a/lib/rpc/scan.h
+++ b/lib/rpc/scan.h
@@ -7,7 +7,10 @@
 
 enum
 {
-  RPC_DEPTH = 8 /* nested arrays */
+  RPC_DEPTH = 8,       /* nested arrays */
+  RPC_VALUES = 1 << 20 /* values of a frame: each takes 24 bytes when it is
+                          unpacked, so that a frame of one-byte values would
+                          take many times its size */
 };
 
 /* rpc_scan: true if BODY is exactly one msgpack value of the types that
--- a/test/test_watchers.c
+++ b/test/test_watchers.c
@@ -34,6 +34,7 @@
   char address[24];
   int64_t seq;
   int64_t boot;
+  int64_t updates; /* received on the connection */
   int64_t roster;
   msec_t report_at;
   msec_t asked_at;
@@ -79,7 +80,8 @@
                 .boot = w->boot,
                 .address = str_of (w->address),
                 .zone = str_of (zones[(w - w->field->w) % CELLS]),
-                .takes_changes = true };
+                .takes_changes = true,
+                .updates = w->updates };
 
   rpc_encode (stream_out (w->stream), MSG_WATCH, &m);
   stream_flush (w->stream);
@@ -107,6 +109,7 @@
   msec_t took = loop_now (f->loop) - w->asked_at;
 
   f->messages++;
+  w->updates++;
   f->endpoints += (int64_t)n->endpoints.n;
   f->backends += (int64_t)n->backends.n;
   f->deferred += n->retry_after > 0;
@@ -153,6 +156,7 @@
 
   (void)e;
   w->stream = NULL;
+  w->updates = 0;
   w->roster = -1;
   w->at = (w->at + 1) % CELLS;
 }
@@ -520,6 +524,40 @@
 }
 END_TEST
 
+/* Guards against whole rosters that are sent again while the first one is on
+   its way: on a link that needs longer for it than the time between reports,
+   each report before its arrival was answered with another one.  */
+START_TEST (roster_on_its_way_is_not_sent_again)
+{
+  field_t *f = field_new ();
+  watcher_stub_t *w = &f->w[0];
+
+  f->nserver = SERVERS;
+  run (f, 1500, NULL);
+  start_watchers (f, 0);
+  for (int i = 1; i < WATCHERS; i++)
+    f->w[i].alive = false;
+  run (f, 200, NULL);
+  reset_counts (f);
+  w->updates = 0;
+  w->roster = -1;
+  stream_close (w->stream);
+  w->stream = NULL;
+  w->report_at = 0;
+  run (f, 4, NULL);
+  ck_assert_ptr_nonnull (w->stream);
+  /* What it reports meanwhile says that nothing has arrived yet.  */
+  w->roster = -1;
+  w->updates = 0;
+  for (int i = 0; i < 4; i++)
+    send_report (w);
+  run (f, 200, NULL);
+  print_counts (f, "reports ahead");
+  ck_assert_int_le (f->backends, SERVERS);
+  field_free (f);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -531,6 +569,7 @@
   tcase_add_test (t, quiet_fleet_gets_no_lists);
   tcase_add_test (t, restart_of_all_beside_a_lost_control_instance);
   tcase_add_test (t, whole_rosters_are_deferred_beyond_a_rate);
+  tcase_add_test (t, roster_on_its_way_is_not_sent_again);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_NORMAL);
