proxy: bound the settings and names of a session

What callers saw: nothing yet; read from the code (report: one malformed message took a process down). A session with more than about 45 settings overwrote the ring of awaited steps of its connection; a prepared name of 64 bytes or more was acknowledged and then unknown.

At most 40 settings and 1,024 prepared statements a session, names up to 63 bytes; what is beyond gets MALFORMED and the session goes on.

Evidence: test_proxy many_settings_are_refused and long_prepared_name_is_refused; both fail before.

--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -14,8 +14,12 @@
 {
   NAME_LEN = 64, /* bytes, for names of services, databases and zones */
   FRESH_KINDS = FRESH_SESSION + 1,
-  CANDIDATES_MAX = 16,   /* databases of a service that placement considers */
-  STEPS_MAX = 48,        /* steps in flight on one connection */
+  CANDIDATES_MAX = 16, /* databases of a service that placement considers */
+  SETTINGS_MAX = 40,   /* of one session */
+  PREPARED_MAX = 1024, /* statements of one session */
+  /* Steps in flight on one connection: the settings of a session, and the
+     reset, preparation, BEGIN, statement and ROLLBACK beside them.  */
+  STEPS_MAX = SETTINGS_MAX + 8,
   CONNECT_TIMEOUT = 700, /* for opening a connection to a database */
   ACK_TIMEOUT = 3000, /* without a TCP acknowledgement a connection is lost */
 
@@ -83,6 +87,8 @@
 
 void values_set (values_t *v, str_t name, str_t value);
 const char *values_get (const values_t *v, const char *name);
+/* values_full: whether V has MAX values and none of NAME.  */
+bool values_full (const values_t *v, str_t name, int max);
 bool values_drop (values_t *v, str_t name);
 /* values_equal: whether V and WANT hold the same names and values.  */
 bool values_equal (const values_t *v, const values_t *want);
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -226,14 +226,33 @@
   session_done (s);
 }
 
+/* The settings of a session are sent to a connection in one go.  */
+static void
+set (session_t *s, const op_t *op)
+{
+  if (values_full (&s->values, op->name, SETTINGS_MAX))
+    {
+      session_refuse (s, FAIL_MALFORMED, STR ("too many settings"));
+      return;
+    }
+  values_set (&s->values, op->name, op->arg);
+  session_done (s);
+}
+
 static void
 prepare (session_t *s, const op_t *op)
 {
   char shape[NAME_LEN + 1];
 
-  if (op->arg.n >= NAME_LEN)
+  if (op->arg.n >= NAME_LEN || op->name.n >= NAME_LEN)
+    {
+      session_refuse (s, FAIL_MALFORMED,
+                      STR ("the name or shape is too long"));
+      return;
+    }
+  if (values_full (&s->prepared, op->name, PREPARED_MAX))
     {
-      session_refuse (s, FAIL_MALFORMED, STR ("the shape is too long"));
+      session_refuse (s, FAIL_MALFORMED, STR ("too many prepared statements"));
       return;
     }
   snprintf (shape, sizeof shape, "%c" STR_FMT, op->writes ? 'w' : 'r',
@@ -306,8 +325,7 @@
       rollback (s);
       return true;
     case OP_SET:
-      values_set (&s->values, op->name, op->arg);
-      session_done (s);
+      set (s, op);
       return true;
     case OP_PREPARE:
       prepare (s, op);
--- a/lib/proxy/values.c
+++ b/lib/proxy/values.c
@@ -47,6 +47,12 @@
   v->at[v->n++] = (value_t){ copy (name), copy (value) };
 }
 
+bool
+values_full (const values_t *v, str_t name, int max)
+{
+  return v->n >= max && find (v, name) == NULL;
+}
+
 const char *
 values_get (const values_t *v, const char *name)
 {
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -610,6 +610,45 @@
 }
 END_TEST
 
+/* Guards against a client that ends the process with settings: those of a
+   session are sent to a connection in one go, and more than the connection can
+   await answers for overwrote its memory.  */
+START_TEST (many_settings_are_refused)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = stage_session (s, "lead");
+  char text[64];
+
+  for (int i = 0; i < 60; i++)
+    {
+      snprintf (text, sizeof text, "QUERY s%d SET name%d v\r\n", i, i);
+      stage_send (c, text);
+      stage_run (s, 5, NULL, NULL);
+    }
+  ASK (c, "QUERY s SET name1 w\r\n", "READY I");
+  ck_assert_ptr_nonnull (strstr (c->received, "ERROR MALFORMED"));
+  c->received[0] = '\0';
+  ASK (c, "QUERY r1 READ 7\r\n", "ROW db0");
+  ck_assert_int_eq (stage_count (&s->db[0], "SET name1 w"), 1);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a statement that is unknown though its preparing was
+   acknowledged: its name was cut to 63 bytes when it was run.  */
+START_TEST (long_prepared_name_is_refused)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = stage_session (s, "lead");
+  char text[256];
+
+  snprintf (text, sizeof text, "QUERY p1 PREPARE %0100d READ q\r\n", 1);
+  ASK (c, text, "READY I");
+  ck_assert_ptr_nonnull (strstr (c->received, "ERROR MALFORMED"));
+  stage_free (s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -646,6 +685,8 @@
   tcase_add_test (t, cut_off_instance_is_not_ready);
   tcase_add_test (t, cut_off_with_a_replaced_primary_is_not_ready);
   tcase_add_test (t, report_names_the_roster_after_changes);
+  tcase_add_test (t, many_settings_are_refused);
+  tcase_add_test (t, long_prepared_name_is_refused);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
