Pass over a control instance without power after 200 ms

Cause: all machines start within 0.3 s, so the first control instance that an entry instance calls, and the first peer that a control instance calls, often has no power yet; its opening packet is lost and the connection was given up after 500 ms.

Evidence: test_proxy dead_control_instance_is_passed_over_soon: 645 ms until the next report before, 400 is the bound.

--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -12,7 +12,8 @@
   TICK_INTERVAL = 10,     /* ms between ticks of the replicated log */
   PEERS_MAX = 32,         /* control instances */
   REDIAL_INTERVAL = 100,  /* ms between attempts to connect to one */
-  DIAL_TIMEOUT = 500,     /* ms to connect to one */
+  DIAL_TIMEOUT = 200,     /* ms to connect to one; the longest round trip
+                             between regions takes 40 */
   PEER_TIMEOUT = 1000,    /* ms until an unanswered request closes the
                              connection */
   PEER_OUT_MAX = 4 << 20, /* bytes queued for one instance */
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -16,7 +16,8 @@
 {
   URGENT_INTERVAL = 40, /* ms between reports marked urgent */
   PATIENCE_MAX = 2,     /* the silence limit doubles so often at most */
-  DIAL_TIMEOUT = 500,   /* ms to connect to a control instance */
+  DIAL_TIMEOUT = 200,   /* ms to connect to a control instance; the longest
+                           round trip between regions takes 40 */
   /* Attempts in a row that got no update before the next is delayed: the other
      instances may be down, and the next one may answer.  */
   FREE_ATTEMPTS = 2,
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -1,9 +1,13 @@
 #include "../lib/proxy/local.h"
 #include "stage.h"
 
+#include <arpa/inet.h>
+
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define ASK(c, text, want)                                                    \
   ck_assert_msg (stage_request (c, text, want), "received: %s", (c)->received)
@@ -443,6 +447,64 @@
 }
 END_TEST
 
+/* Listens on a free port that answers no further connection: the queue of
+   connections is full, so the kernel drops the opening packet, as a machine
+   without power does.  */
+static int
+listen_full (char *out, size_t size)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  socklen_t n = sizeof sa;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&sa, sizeof sa), 0);
+  ck_assert_int_eq (listen (fd, 0), 0);
+  getsockname (fd, (struct sockaddr *)&sa, &n);
+  snprintf (out, size, "127.0.0.1:%d", ntohs (sa.sin_port));
+  for (int i = 0; i < 4; i++)
+    connect (socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0),
+             (struct sockaddr *)&sa, sizeof sa);
+  return fd;
+}
+
+static bool
+dials_second (void *arg)
+{
+  const stage_t *s = arg;
+
+  return strcmp (s->proxy->watch.dialed, s->control_address[1]) == 0;
+}
+
+static bool
+reports_again (void *arg)
+{
+  const stage_t *s = arg;
+
+  return s->reports[0] > 0;
+}
+
+/* Guards against an instance that is without control for half a second because
+   the first control instance that it calls has no power yet: after a loss of
+   power all machines start within 0.3 s.  */
+START_TEST (dead_control_instance_is_passed_over_soon)
+{
+  stage_t *s = stage_new (true);
+  int fd = listen_full (s->control_address[1], sizeof s->control_address[1]);
+
+  stage_run (s, 700, NULL, NULL);
+  s->control_leaderless[0] = s->control_leaderless[1] = true;
+  ck_assert (stage_run (s, 3000, dials_second, s));
+  s->control_leaderless[0] = s->control_leaderless[1] = false;
+  s->reports[0] = 0;
+  msec_t began = msec_now ();
+  ck_assert (stage_run (s, 3000, reports_again, s));
+  ck_assert_int_le (msec_now () - began, 400);
+  close (fd);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against reports to another zone while a control instance in the
    proxy's own zone answers, and against a proxy that doesn't change over when
    that one fails.  */
@@ -685,6 +747,7 @@
   tcase_add_test (t, cut_off_with_a_replaced_primary_is_not_ready);
   tcase_add_test (t, report_names_the_roster_after_changes);
   tcase_add_test (t, many_settings_are_refused);
+  tcase_add_test (t, dead_control_instance_is_passed_over_soon);
   tcase_add_test (t, long_prepared_name_is_refused);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
