--- a/include/proxy.h
+++ b/include/proxy.h
@@ -241,7 +241,7 @@
 {
   WAITER_KINDS = 3,  /* kinds of statements of one service */
   FLOW_WINDOW = 300, /* ms that rates are taken over, up to twice that */
-  FLOW_MIN = 150     /* ms; over a shorter time rates are unknown */
+  FLOW_MIN = 300     /* ms; over a shorter time rates are unknown */
 };
 
 typedef struct
