--- a/lib/base/sup.c
+++ b/lib/base/sup.c
@@ -11,7 +11,6 @@
   bool running;
   bool done;
   bool failed;
-  bool given_up;
   err_t err;
   int restarts; /* since PERIOD_START */
   msec_t period_start;
--- a/lib/dblink/dblink.c
+++ b/lib/dblink/dblink.c
@@ -84,6 +84,8 @@
 void
 dblink_targets (dblink_t *d, const db_target_t *t, size_t n)
 {
+  if (n > MAX_LINKS)
+    log_event (EV_TARGETS_DROPPED, "targets=%zu most=%d", n, MAX_LINKS);
   apr_thread_mutex_lock (d->lock);
   d->ntargets = n < MAX_LINKS ? n : MAX_LINKS;
   if (d->ntargets)
--- a/lib/entry/worker.h
+++ b/lib/entry/worker.h
@@ -162,10 +162,9 @@
   bool extended;    /* extended query protocol */
   bool flush;       /* the batch ended with Flush */
   bool repeatable;
-  bool expired;  /* its deadline has passed */
-  bool probed;   /* a probe was considered for it */
-  bool unparsed; /* the batch names an unknown statement */
-  size_t size;   /* bytes of the unit at the start of the session's input */
+  bool expired; /* its deadline has passed */
+  bool probed;  /* a probe was considered for it */
+  size_t size;  /* bytes of the unit at the start of the session's input */
   plan_t plan;
   group_state_t *group;
   msec_t arrived;
--- a/lib/fleet/roster.c
+++ b/lib/fleet/roster.c
@@ -50,7 +50,7 @@
 {
   if (r->n == ROSTER_MAX)
     return NULL;
-  if (r->n == r->cap)
+  if (r->at == NULL || r->n == r->cap)
     {
       r->cap = r->cap ? 2 * r->cap : 32;
       r->at = realloc (r->at, r->cap * sizeof *r->at);
--- a/lib/route/view.c
+++ b/lib/route/view.c
@@ -293,14 +293,6 @@
   g->samples[g->nsamples++] = (sample_t){ term, pos, sent };
 }
 
-const sample_t *
-view_newest (const group_t *g, msec_t since)
-{
-  if (g->nsamples == 0 || g->samples[g->nsamples - 1].sent < since)
-    return NULL;
-  return &g->samples[g->nsamples - 1];
-}
-
 const sample_t *
 view_oldest (const group_t *g, msec_t since)
 {
--- a/lib/route/view.h
+++ b/lib/route/view.h
@@ -66,9 +66,6 @@
 };
 
 group_t *view_find_group (view_t *v, str_t name);
-/* view_newest: the newest sample of G, NULL unless it was sent at or after
-   SINCE.  */
-const sample_t *view_newest (const group_t *g, msec_t since);
 /* view_oldest: the oldest sample of G sent at or after SINCE, which is the
    least that a replica has to cover; NULL when there is none.  */
 const sample_t *view_oldest (const group_t *g, msec_t since);
