--- a/lib/cell/endpoint.c
+++ b/lib/cell/endpoint.c
@@ -154,27 +154,43 @@
   free (x);
 }
 
-void
-endpoint_expire (cell_t *c)
+static void
+drop_silent (cell_t *c)
 {
-  endpoint_table_t *t = &c->endpoints;
   cell_endpoint_t *next;
 
-  if (c->now - t->expired_at < ENDPOINT_EXPIRE_INTERVAL)
-    return;
-  t->expired_at = c->now;
-  for (cell_endpoint_t *x = t->newest; x; x = next)
+  for (cell_endpoint_t *x = c->endpoints.newest; x; x = next)
     {
-      msec_t age = c->now - x->reported_at;
+      msec_t limit = x->direct ? ENDPOINT_MAX_AGE : PEER_REPORT_MAX_AGE;
       next = x->next;
-      if (x->gone && age >= ENDPOINT_RETENTION)
-        forget (t, x);
-      else if (!x->gone
-               && age >= (x->direct ? ENDPOINT_MAX_AGE : PEER_REPORT_MAX_AGE))
+      if (!x->gone && c->now - x->reported_at >= limit)
         drop (c, x);
     }
 }
 
+static void
+forget_removed (cell_t *c)
+{
+  cell_endpoint_t *next;
+
+  for (cell_endpoint_t *x = c->endpoints.newest; x; x = next)
+    {
+      next = x->next;
+      if (x->gone && c->now - x->reported_at >= ENDPOINT_RETENTION)
+        forget (&c->endpoints, x);
+    }
+}
+
+void
+endpoint_expire (cell_t *c)
+{
+  if (c->now - c->endpoints.expired_at < ENDPOINT_EXPIRE_INTERVAL)
+    return;
+  c->endpoints.expired_at = c->now;
+  drop_silent (c);
+  forget_removed (c);
+}
+
 static endpoint_t
 view (const cell_endpoint_t *x)
 {
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -152,7 +152,6 @@
 typedef struct probe
 {
   struct probe *next;
-  struct probe *prev;
   struct cell *cell;
   char id[FLEET_NAME_SIZE];
   char service[FLEET_NAME_SIZE];
@@ -282,8 +281,8 @@
 /* roster_refused: logs and counts a record from SOURCE that is left out.  */
 void roster_refused (cell_t *c, const backend_t *b, const char *source,
                      const err_t *e);
-/* roster_merge: enters the records that SOURCE lists.  */
-void roster_merge (cell_t *c, const list_t *backends, const char *source);
+/* roster_merge: enters the records V, which SOURCE lists.  */
+void roster_merge (cell_t *c, const list_t *v, const char *source);
 void pending_check (cell_t *c);
 /* update.c: rosters to control instances, updates to entry instances */
 /* update_entry_count: entry instances connected to any control instance.  */
--- a/lib/cell/probe.c
+++ b/lib/cell/probe.c
@@ -226,8 +226,6 @@
   memcpy (p->service, s->service, sizeof p->service);
   memcpy (p->address, s->address, sizeof p->address);
   p->next = c->probes;
-  if (c->probes)
-    c->probes->prev = p;
   c->probes = p;
   apr_hash_set (c->probe_by_id, p->id, (apr_ssize_t)strlen (p->id), p);
 }
@@ -235,12 +233,11 @@
 static void
 remove_probe (cell_t *c, dbprobe_t *p)
 {
-  if (p->prev)
-    p->prev->next = p->next;
-  else
-    c->probes = p->next;
-  if (p->next)
-    p->next->prev = p->prev;
+  dbprobe_t **at = &c->probes;
+
+  while (*at != p)
+    at = &(*at)->next;
+  *at = p->next;
   apr_hash_set (c->probe_by_id, p->id, (apr_ssize_t)strlen (p->id), NULL);
   disconnect (p);
   free (p);
--- a/test/test_fuzz_frames.c
+++ b/test/test_fuzz_frames.c
@@ -55,6 +55,31 @@
 }
 END_TEST
 
+/* Guards against a frame of values of one byte, each of which takes 24 bytes
+   when it is unpacked: 8 MB of them would take more than a control instance's
+   memory.  */
+START_TEST (frame_of_many_values_is_refused)
+{
+  apr_pool_t *pool;
+  msgtype_t type;
+  err_t e = { 0 };
+  size_t n = (1 << 20) + 1;
+  unsigned char *p = calloc (1, n + 5);
+
+  ck_assert (p);
+  apr_pool_create (&pool, NULL);
+  p[0] = 0xdd; /* array 32 */
+  for (int i = 0; i < 4; i++)
+    p[1 + i] = (unsigned char)(n >> (24 - 8 * i));
+  ck_assert_ptr_null (
+      rpc_decode (pool, (str_t){ (char *)p, n + 5 }, &type, &e));
+  ck_assert_int_eq (e.code, ERR_PROTOCOL);
+  ck_assert_ptr_nonnull (strstr (e.detail, "not exactly one valid msgpack"));
+  apr_pool_destroy (pool);
+  free (p);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -65,6 +90,7 @@
   apr_initialize ();
   tcase_set_timeout (t, 60);
   tcase_add_test (t, damaged_inputs);
+  tcase_add_test (t, frame_of_many_values_is_refused);
   suite_add_tcase (s, t);
   srunner_run_all (r, CK_NORMAL);
   int failed = srunner_ntests_failed (r);
