Keep listed records and route kinds within their bounds

A freshness outside of this build's kinds was used as an index; it counts as the strictest now (test_fleet numbers_of_a_configuration_are_limited).

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -141,6 +141,8 @@
   if (now - c->rosters_sent_at >= roster_interval (c))
     {
       roster_expire (&c->roster, now);
+      /* It may have moved the records that the list refers to.  */
+      c->changes.revision = -1;
       roster_reset_sent (c);
     }
   return c->failed ? now : c->ticked_at + TICK_INTERVAL;
--- a/lib/rpc/check.c
+++ b/lib/rpc/check.c
@@ -102,6 +102,11 @@
       changed += bound (&r->max_age, 0, TIMEOUT_MAX);
       changed += bound (&r->target, 0, TIMEOUT_MAX);
       changed += bound (&r->priority, 0, INT32_MAX);
+      if (r->freshness < FRESH_PRIMARY || r->freshness > FRESH_SESSION)
+        {
+          r->freshness = FRESH_PRIMARY;
+          changed++;
+        }
     }
   for (size_t i = 0; i < s->services.n; i++)
     {
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -261,6 +261,30 @@
 }
 END_TEST
 
+/* Guards against numbers of a configuration that don't fit: a time limit of
+   2^63-1 ended before it began, and a freshness of a later build is no index
+   of this one.  */
+START_TEST (numbers_of_a_configuration_are_limited)
+{
+  route_entry_t r = { .timeout = INT64_MAX,
+                      .max_age = -1,
+                      .target = INT64_MAX,
+                      .priority = -7,
+                      .freshness = 9 };
+  service_entry_t v
+      = { .connections = INT64_C (1) << 40, .sync_replicas = -3 };
+  setup_t s
+      = { .tx_idle = INT64_MAX, .routes = { &r, 1 }, .services = { &v, 1 } };
+
+  ck_assert_int_eq (setup_bound (&s), 8);
+  ck_assert (r.timeout > 0 && r.timeout <= INT32_MAX);
+  ck_assert_int_eq (r.max_age, 0);
+  ck_assert_int_eq (r.freshness, FRESH_PRIMARY);
+  ck_assert (v.connections > 0 && v.connections <= INT32_MAX);
+  ck_assert_int_eq (setup_bound (&s), 0);
+}
+END_TEST
+
 /* Guards against a search of the whole roster for each heartbeat, and against
    an index that loses entries when the roster grows or shrinks.  */
 START_TEST (roster_finds_each_of_many)
@@ -516,6 +540,7 @@
   tcase_add_test (t, odd_entries_are_refused);
   tcase_add_test (t, odd_sequence_number_keeps_the_database);
   tcase_add_test (t, roster_finds_each_of_many);
+  tcase_add_test (t, numbers_of_a_configuration_are_limited);
   tcase_add_test (t, failed_primary_is_replaced_by_the_most_advanced);
   tcase_add_test (t, primary_that_answers_others_is_kept);
   tcase_add_test (t, survey_ends_when_the_primary_answers);
