control: send changes of endpoints every 30 ms, not only with reports

After a restart of all control instances an entry instance's first list holds those that had reported before it; until its next report, 300 ms later, it picked owners from that part, and sessions were forwarded there.

--- a/lib/cell/endpoint.c
+++ b/lib/cell/endpoint.c
@@ -219,6 +219,16 @@
   return n;
 }
 
+bool
+endpoint_changed (const cell_t *c, const char *zone, int64_t revision)
+{
+  for (const cell_endpoint_t *x = c->endpoints.newest;
+       x && x->changed > revision; x = x->next)
+    if (strcmp (x->zone, zone) == 0)
+      return true;
+  return false;
+}
+
 size_t
 endpoint_list_changes (const cell_t *c, const char *zone, int64_t revision,
                        endpoint_t *out)
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -27,6 +27,8 @@
                                  entry instances is valid */
   ENDPOINT_MAX_AGE = 1500,    /* ms that an endpoint's own report is valid */
   ENDPOINT_RETENTION = 10000, /* ms that the removal of one is kept */
+  ENDPOINTS_INTERVAL = 30,    /* ms between changes of endpoints to one entry
+                                 instance */
   ENDPOINT_EXPIRE_INTERVAL = 50, /* ms between searches for expired ones */
   DIRECT_INTERVAL = 200,         /* ms between lists of the direct endpoints to
                                     another control instance */
@@ -82,6 +84,7 @@
   int64_t endpoints_sent; /* revision of the endpoints sent to this entry
                              instance, or of the direct ones sent to this
                              control instance; -1: none */
+  msec_t endpoints_at;    /* changes of endpoints looked for last */
   msec_t direct_sent_at;  /* direct endpoints sent last */
 };
 
@@ -309,6 +312,8 @@
    changed in ZONE after REVISION, with GONE set for what was removed.  */
 size_t endpoint_list_direct (const cell_t *c, endpoint_t *out);
 size_t endpoint_list_zone (const cell_t *c, const char *zone, endpoint_t *out);
+/* endpoint_changed: whether that list is not empty.  */
+bool endpoint_changed (const cell_t *c, const char *zone, int64_t revision);
 size_t endpoint_list_changes (const cell_t *c, const char *zone,
                               int64_t revision, endpoint_t *out);
 /* probe.c */
--- a/lib/cell/update.c
+++ b/lib/cell/update.c
@@ -192,9 +192,23 @@
   send_update (c, r);
 }
 
-/* Changes of endpoints are not sent here: they follow with the answer to the
-   next report, so that many instances that come or go at once cost each
-   receiver one list.  */
+/* Whether changes of endpoints are to be sent to R without a report.  They are
+   gathered for ENDPOINTS_INTERVAL, so that many instances that come or go at
+   once cost each receiver a few lists.  Until the next report would be too
+   late: after a restart of all control instances the first list holds only
+   those that have reported so far, and sessions would be forwarded by it.  */
+static bool
+push_endpoints (cell_t *c, remote_t *r)
+{
+  if (!endpoints_due (c, r) || c->now - r->endpoints_at < ENDPOINTS_INTERVAL)
+    return false;
+  r->endpoints_at = c->now;
+  if (endpoint_changed (c, r->zone, r->endpoints_sent))
+    return true;
+  r->endpoints_sent = c->endpoints.revision;
+  return false;
+}
+
 void
 update_broadcast (cell_t *c)
 {
@@ -207,7 +221,7 @@
       if (!r->is_entry || r->stream == NULL || r->roster_known < 0)
         continue;
       if (r->roster_known < c->roster.revision || r->version < c->version
-          || r->leader_sent != has_leader)
+          || r->leader_sent != has_leader || push_endpoints (c, r))
         send_update (c, r);
     }
 }
--- a/test/test_watchers.c
+++ b/test/test_watchers.c
@@ -453,6 +453,24 @@
 }
 END_TEST
 
+/* Guards against sessions that are forwarded by a partial list: after a
+   restart of all control instances each entry instance got a list of those
+   that had reported before it, and the others only with its next report.
+   Everyone knows its zone within half of the time between reports.  */
+START_TEST (zone_is_known_before_the_next_report)
+{
+  field_t *f = field_new ();
+
+  f->nserver = SERVERS;
+  run (f, 1500, NULL);
+  start_watchers (f, 0);
+  for (int i = CELLS * FULL_PER_TICK; i < WATCHERS; i++)
+    f->w[i].alive = false;
+  ck_assert (run (f, REPORT_EVERY / 2, is_complete));
+  field_free (f);
+}
+END_TEST
+
 /* Guards against answers that repeat what the entry instance has: after the
    last change every answer is an update without lists.  */
 START_TEST (quiet_fleet_gets_no_lists)
@@ -565,6 +583,7 @@
 
   tcase_set_timeout (t, 60);
   tcase_add_test (t, joining_costs_each_endpoint_twice_at_most);
+  tcase_add_test (t, zone_is_known_before_the_next_report);
   tcase_add_test (t, quiet_fleet_gets_no_lists);
   tcase_add_test (t, restart_of_all_beside_a_lost_control_instance);
   tcase_add_test (t, whole_rosters_are_deferred_beyond_a_rate);
