proxy: a control instance that starts does not shrink the fleet

Cause: a control instance that has just started reports the entry instances that it has heard so far as the number of all. Below half of the connections of a database no owners are needed, so every instance opened its own connections for some 0.3 s.

The number grows at once and falls only when the control instance has run for long enough to know all.

--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -294,7 +294,9 @@
 void
 fleet_update (proxy_t *p, const watch_update_t *n)
 {
-  if (n->entries > 0)
+  /* A control instance that has just started has heard of a few only.  With a
+     small number, owners of connections seem not to be needed.  */
+  if (n->entries > 0 && (n->roster_complete || n->entries > p->entries))
     p->entries = (int)n->entries;
   forward_update (p, n);
   if (n->setup.n
--- a/test/stage.c
+++ b/test/stage.c
@@ -364,6 +364,7 @@
       = { .seq = m->seq,
           .boot = 1,
           .has_leader = !s->control_leaderless[w->at],
+          .roster_complete = s->roster_complete,
           .version = s->version,
           .setup = m->version < s->version ? buf_str (&setup) : (str_t){ 0 },
           .roster = s->roster,
--- a/test/stage.h
+++ b/test/stage.h
@@ -69,6 +69,7 @@
   int reports[2]; /* received by each control instance */
   int64_t version;
   int64_t roster;
+  bool roster_complete;    /* the control instances run for long enough */
   bool roster_changes;     /* later rosters are marked as changes */
   int64_t roster_reported; /* roster that the last report names */
   int64_t tx_idle;         /* ms */
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -672,6 +672,26 @@
 }
 END_TEST
 
+/* Guards against a number of entry instances that falls while the control
+   instances are starting: owners of connections then seemed not to be needed,
+   and every instance opened its own.  Found by scale-1 of the grown Bureau. */
+START_TEST (starting_control_does_not_shrink_the_fleet)
+{
+  stage_t *s = stage_new (true);
+
+  s->entries = 40;
+  stage_run (s, 700, NULL, NULL);
+  ck_assert_int_eq (s->proxy->entries, 40);
+  s->entries = 2;
+  stage_run (s, 700, NULL, NULL);
+  ck_assert_int_eq (s->proxy->entries, 40);
+  s->roster_complete = true;
+  stage_run (s, 700, NULL, NULL);
+  ck_assert_int_eq (s->proxy->entries, 2);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a client that ends the process with settings: those of a
    session are sent to a connection in one go, and more than the connection can
    await answers for overwrote its memory.  */
@@ -747,6 +767,7 @@
   tcase_add_test (t, cut_off_with_a_replaced_primary_is_not_ready);
   tcase_add_test (t, report_names_the_roster_after_changes);
   tcase_add_test (t, many_settings_are_refused);
+  tcase_add_test (t, starting_control_does_not_shrink_the_fleet);
   tcase_add_test (t, dead_control_instance_is_passed_over_soon);
   tcase_add_test (t, long_prepared_name_is_refused);
   suite_add_tcase (s, t);
