--- a/review/standin/base.c
+++ b/review/standin/base.c
@@ -376,20 +376,26 @@
 
 /* ---- operator ---- */
 
-static bool
+const char *route_host[SERVICES_MAX];
+
+bool
 put_config (int version)
 {
+  char host[SERVICES_MAX][32];
   static char body[60000];
   char to[128], location[128];
   int n = snprintf (body, sizeof body, "{\"version\":%d,\"routes\":[", version);
 
+  for (int i = 0; i < dep.services; i++)
+    snprintf (host[i], sizeof host[i], "db%d", i);
   for (int i = 0; i < dep.services; i++)
     n += snprintf (body + n, sizeof body - (size_t)n,
-                   "%s{\"name\":\"r-%d\",\"host\":\"db%d\",\"path-prefix\":"
+                   "%s{\"name\":\"r-%d\",\"host\":\"%s\",\"path-prefix\":"
                    "\"/\",\"route-kind\":\"%s\",\"timeout-ms\":%d,"
                    "\"target-latency-ms\":400,\"priority\":1,\"service\":"
                    "\"svc%d\",\"max-attempts\":2,\"max-staleness-ms\":%d}",
-                   i ? "," : "", i, i, dep.route_kind, dep.timeout, i,
+                   i ? "," : "", i, route_host[i] ? route_host[i] : host[i],
+                   dep.route_kind, dep.timeout, i,
                    dep.max_age);
   n += snprintf (body + n, sizeof body - (size_t)n, "],\"services\":[");
   for (int i = 0; i < dep.services; i++)
@@ -574,8 +580,9 @@
   } cases[] = { { "sync", case_sync },
                 { "rows", case_rows },
                 { "stop", case_stop },
-                { "platform", case_platform },
-                { "odd", case_odd } };
+                { "odd", case_odd },
+                { "shape", case_shape },
+                { "host", case_host } };
   const char *t = getenv ("TROUBLE");
   const char *tmp = getenv ("TMPDIR");
 
