--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p bin
-${CC:-cc} -std=gnu11 -O2 -g -Wall -Wextra -pthread -o bin/standin standin/*.c -lm
+${CC:-gcc} -std=gnu11 -O2 -g -Wall -Wextra -pthread -o bin/standin standin/*.c -lm
