proxy: the name of a prepared statement on a connection is a counter

Callers whose shape had several words got NOSTMT for each EXECUTE though the PREPARE was acknowledged, or success for another shape than they had prepared (PINNED). Shapes and names of 64 bytes or more were refused.

Cause: on connections to databases the statement had its kind and shape as its name. A shape may hold blanks, since it is the last field of the client's message; as the name it stands in the middle of one. The forwarded path kept statements by code of its own, which dropped long shapes without a word.

Names and shapes are length-counted, a session's settings and statements are bounded together, and a connection with many statements is reset.

--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -252,16 +252,17 @@
   c->startup (out, str_of (s->host), str_of (pos), (str_t){ 0 });
   for (int i = 0; i < s->values.n; i++)
     {
-      op.name = str_of (s->values.at[i].name);
-      op.arg = str_of (s->values.at[i].value);
+      op.name = s->values.at[i].name;
+      op.arg = s->values.at[i].value;
       c->op (out, &op, (str_t){ 0 }, (pos_t){ 0 });
     }
   op.kind = OP_PREPARE;
   for (int i = 0; i < s->prepared.n; i++)
     {
-      op.name = str_of (s->prepared.at[i].name);
-      op.writes = s->prepared.at[i].value[0] == 'w';
-      op.arg = str_of (s->prepared.at[i].value + 1);
+      str_t key = s->prepared.at[i].value;
+      op.name = s->prepared.at[i].name;
+      op.writes = key.p[0] == 'w';
+      op.arg = (str_t){ key.p + 1, key.n - 1 };
       c->op (out, &op, (str_t){ 0 }, (pos_t){ 0 });
     }
   f->skip = 1 + s->values.n + s->prepared.n;
@@ -455,22 +456,11 @@
 {
   client_msg_t m;
   size_t used;
-  char shape[NAME_LEN + 1];
 
-  if (!s->forward->done
-      || s->proxy->conf.client->decode (buf_str (&s->forward->text), &used, &m)
-             <= 0)
-    return;
-  if (m.op.kind == OP_SET)
-    values_set (&s->values, m.op.name, m.op.arg);
-  else if (m.op.kind == OP_DEALLOCATE)
-    values_drop (&s->prepared, m.op.name);
-  else if (m.op.kind == OP_PREPARE && m.op.arg.n < NAME_LEN)
-    {
-      snprintf (shape, sizeof shape, "%c" STR_FMT, m.op.writes ? 'w' : 'r',
-                STR_ARG (m.op.arg));
-      values_set (&s->prepared, m.op.name, str_of (shape));
-    }
+  if (s->forward->done
+      && s->proxy->conf.client->decode (buf_str (&s->forward->text), &used, &m)
+             > 0)
+    session_note (s, &m.op);
 }
 
 static void
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -17,6 +17,13 @@
   CANDIDATES_MAX = 16, /* databases of a service that placement considers */
   SETTINGS_MAX = 40,   /* of one session */
   PREPARED_MAX = 1024, /* statements of one session */
+  /* Names and values of a session's settings and prepared statements.  One
+     message of the users' platform, 1 MiB, fits in.  */
+  SESSION_BYTES_MAX = 2 << 20,
+  /* Statements and bytes prepared on one connection, after which it is
+     reset.  */
+  LINK_PREPARED_MAX = 1024,
+  LINK_PREPARED_BYTES = 2 << 20,
   /* Steps in flight on one connection: the settings of a session, and the
      reset, preparation, BEGIN, statement and ROLLBACK beside them.  */
   STEPS_MAX = SETTINGS_MAX + 8,
@@ -74,8 +81,8 @@
 
 typedef struct
 {
-  char *name;
-  char *value;
+  str_t name;
+  str_t value;
 } value_t;
 
 typedef struct
@@ -83,10 +90,12 @@
   value_t *at;
   int n;
   int cap;
+  size_t bytes; /* of all names and values */
 } values_t;
 
 void values_set (values_t *v, str_t name, str_t value);
-const char *values_get (const values_t *v, const char *name);
+/* values_get: the value of NAME, a view into V, or NULL.  */
+const str_t *values_get (const values_t *v, str_t name);
 /* values_full: whether V has MAX values and none of NAME.  */
 bool values_full (const values_t *v, str_t name, int max);
 bool values_drop (values_t *v, str_t name);
@@ -131,7 +140,8 @@
   bool in_tx;
   bool closing;
   values_t values;
-  values_t prepared; /* names prepared on the connection; values are empty */
+  values_t prepared;      /* statement_key to its name on the connection */
+  int64_t prepared_names; /* names given on the connection so far */
   /* The answer to the oldest step, as far as received.  */
   buf_t rows; /* rows of STEP_OP, each after its uint32_t length */
   buf_t text; /* signature or error */
@@ -226,9 +236,9 @@
   bool read_only;    /* no side effects: may be repeated */
   bool sent;
   bool repeated; /* was retried after it had run and failed */
-  op_t op;       /* its strings are in TEXT */
+  op_t op;       /* its strings are in TEXT; of OP_EXECUTE, NAME is the key of
+                    the prepared statement */
   buf_t text;
-  char prepared[NAME_LEN + 2]; /* name on connections: 'r' or 'w', shape */
   pos_t need; /* position that the database must have reached */
   msec_t arrived;
   msec_t deadline;
@@ -262,7 +272,7 @@
   msec_t last_active; /* last statement or answer */
   link_t *link;
   values_t values;
-  values_t prepared;    /* name to 'r' or 'w' and the shape */
+  values_t prepared;    /* name to key: 'r' or 'w' and the shape */
   pos_t last_write;     /* position of its last write */
   msec_t last_write_at; /* when it was acknowledged here; 0: elsewhere */
   route_entry_t route;
@@ -486,6 +496,9 @@
 /* session_send_ready: sends the ready message with the transaction state.  */
 void session_send_ready (session_t *s);
 void session_refuse (session_t *s, fail_t f, str_t why);
+/* session_note: keeps the setting or prepared statement of OP, which was
+   acknowledged to the client, or drops it.  */
+void session_note (session_t *s, const op_t *op);
 /* session_executes_write: whether the prepared statement that OP executes
    writes.  */
 bool session_executes_write (session_t *s, const op_t *op);
--- a/lib/proxy/send.c
+++ b/lib/proxy/send.c
@@ -1,18 +1,28 @@
 #include "local.h"
 
-#include <string.h>
+#include <stdio.h>
 
 /* Prepares a connection for a statement and sends the statement.  */
 
+/* Whether K has a setting that S lacks, or has many statements prepared.  */
+static bool
+needs_reset (const link_t *k, const session_t *s)
+{
+  if (k->in_tx)
+    return false;
+  for (int i = 0; i < k->values.n; i++)
+    if (values_get (&s->values, k->values.at[i].name) == NULL)
+      return true;
+  return k->prepared.n >= LINK_PREPARED_MAX
+         || k->prepared.bytes > LINK_PREPARED_BYTES;
+}
+
 static void
 send_values (proxy_t *p, link_t *k, session_t *s)
 {
   op_t op = { .kind = OP_SET };
-  bool reset = false;
 
-  for (int i = 0; i < k->values.n && !k->in_tx; i++)
-    reset |= values_get (&s->values, k->values.at[i].name) == NULL;
-  if (reset)
+  if (needs_reset (k, s))
     {
       link_expect (k, STEP_RESET);
       p->conf.db->reset (link_out (k));
@@ -22,31 +32,37 @@
   for (int i = 0; i < s->values.n; i++)
     {
       const value_t *x = &s->values.at[i];
-      const char *have = values_get (&k->values, x->name);
-      if (have && strcmp (have, x->value) == 0)
+      const str_t *have = values_get (&k->values, x->name);
+      if (have && str_eq (*have, x->value))
         continue;
-      op.name = str_of (x->name);
-      op.arg = str_of (x->value);
+      op.name = x->name;
+      op.arg = x->value;
       link_expect (k, STEP_SET);
       p->conf.db->op (link_out (k), &op, (str_t){ 0 }, (pos_t){ 0 });
       values_set (&k->values, op.name, op.arg);
     }
 }
 
-static void
-send_prepare (proxy_t *p, link_t *k, session_t *s)
+/* Prepares the statement with KEY, unless K has it, and returns its name on K.
+   The name is a counter, since it is a field in the middle of a message, which
+   a shape with blanks would split.  */
+static str_t
+send_prepare (proxy_t *p, link_t *k, str_t key)
 {
-  const char *name = s->req.prepared;
+  const str_t *have = values_get (&k->prepared, key);
+  char name[32];
   op_t op = { .kind = OP_PREPARE,
-              .name = str_of (name),
-              .arg = str_of (name + 1),
-              .writes = name[0] == 'w' };
+              .arg = { key.p + 1, key.n - 1 },
+              .writes = key.p[0] == 'w' };
 
-  if (s->req.op.kind != OP_EXECUTE || values_get (&k->prepared, name))
-    return;
+  if (have)
+    return *have;
+  snprintf (name, sizeof name, "p%lld", (long long)k->prepared_names++);
+  op.name = str_of (name);
   link_expect (k, STEP_PREPARE);
   p->conf.db->op (link_out (k), &op, (str_t){ 0 }, (pos_t){ 0 });
-  values_set (&k->prepared, op.name, (str_t){ 0 });
+  values_set (&k->prepared, key, op.name);
+  return *values_get (&k->prepared, key);
 }
 
 /* A plain BEGIN succeeds only at the leader.  A replica may serve a read-only
@@ -70,11 +86,13 @@
   request_t *r = &s->req;
   op_t end = { .kind = OP_ROLLBACK };
   bool no_tx = s->tx == TX_NONE;
+  str_t prepared = { 0 };
 
   send_values (p, k, s);
-  send_prepare (p, k, s);
+  if (r->op.kind == OP_EXECUTE)
+    prepared = send_prepare (p, k, r->op.name);
   link_expect (k, STEP_OP);
-  p->conf.db->op (link_out (k), &r->op, str_of (r->prepared),
+  p->conf.db->op (link_out (k), &r->op, prepared,
                   no_tx && r->read_only && !r->needs_leader ? r->need
                                                             : (pos_t){ 0 });
   if (no_tx && r->read_only && r->needs_leader)
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -226,39 +226,47 @@
   session_done (s);
 }
 
-/* The settings of a session are sent to a connection in one go.  */
-static void
-set (session_t *s, const op_t *op)
+void
+session_note (session_t *s, const op_t *op)
 {
-  if (values_full (&s->values, op->name, SETTINGS_MAX))
+  buf_t key;
+
+  if (op->kind == OP_SET)
+    values_set (&s->values, op->name, op->arg);
+  else if (op->kind == OP_DEALLOCATE)
+    values_drop (&s->prepared, op->name);
+  else if (op->kind == OP_PREPARE)
     {
-      session_refuse (s, FAIL_MALFORMED, STR ("too many settings"));
-      return;
+      buf_init (&key);
+      buf_adds (&key, op->writes ? STR ("w") : STR ("r"));
+      buf_adds (&key, op->arg);
+      values_set (&s->prepared, op->name, buf_str (&key));
+      buf_free (&key);
     }
-  values_set (&s->values, op->name, op->arg);
-  session_done (s);
 }
 
+/* SET and PREPARE.  The settings of a session are sent to a connection in one
+   go.  */
 static void
-prepare (session_t *s, const op_t *op)
+note_bounded (session_t *s, const op_t *op)
 {
-  char shape[NAME_LEN + 1];
-
-  if (op->arg.n >= NAME_LEN || op->name.n >= NAME_LEN)
-    {
-      session_refuse (s, FAIL_MALFORMED,
-                      STR ("the name or shape is too long"));
-      return;
-    }
-  if (values_full (&s->prepared, op->name, PREPARED_MAX))
+  size_t bytes
+      = s->values.bytes + s->prepared.bytes + op->name.n + op->arg.n + 1;
+
+  if (op->kind == OP_SET && values_full (&s->values, op->name, SETTINGS_MAX))
+    session_refuse (s, FAIL_MALFORMED, STR ("too many settings"));
+  else if (op->kind == OP_PREPARE
+           && values_full (&s->prepared, op->name, PREPARED_MAX))
+    session_refuse (s, FAIL_MALFORMED, STR ("too many prepared statements"));
+  else if (bytes > SESSION_BYTES_MAX)
+    session_refuse (s, FAIL_MALFORMED,
+                    STR ("the session's settings and prepared statements are "
+                         "too large"));
+  else
     {
-      session_refuse (s, FAIL_MALFORMED, STR ("too many prepared statements"));
-      return;
+      session_note (s, op);
+      session_done (s);
     }
-  snprintf (shape, sizeof shape, "%c" STR_FMT, op->writes ? 'w' : 'r',
-            STR_ARG (op->arg));
-  values_set (&s->prepared, op->name, str_of (shape));
-  session_done (s);
 }
 
 /* The transaction's connection ended between statements.  */
@@ -276,8 +284,7 @@
 static bool
 run_statement (session_t *s, op_t *op)
 {
-  char name[NAME_LEN];
-  const char *shape;
+  const str_t *key;
 
   if (op->kind == OP_COMMIT && s->tx == TX_NONE)
     {
@@ -286,16 +293,15 @@
     }
   if (op->kind == OP_EXECUTE)
     {
-      snprintf (name, sizeof name, STR_FMT, STR_ARG (op->name));
-      shape = values_get (&s->prepared, name);
-      if (shape == NULL)
+      key = values_get (&s->prepared, op->name);
+      if (key == NULL)
         {
           s->tx = s->tx == TX_NONE ? TX_NONE : TX_FAILED;
           session_refuse (s, FAIL_NOSTMT, op->name);
           return true;
         }
-      op->writes = shape[0] == 'w';
-      op->name = str_of (shape + 1);
+      op->writes = key->p[0] == 'w';
+      op->name = *key;
     }
   if (op->kind == OP_WRITE)
     op->writes = true;
@@ -325,10 +331,8 @@
       rollback (s);
       return true;
     case OP_SET:
-      set (s, op);
-      return true;
     case OP_PREPARE:
-      prepare (s, op);
+      note_bounded (s, op);
       return true;
     case OP_DEALLOCATE:
       if (values_drop (&s->prepared, op->name))
@@ -361,11 +365,9 @@
 bool
 session_executes_write (session_t *s, const op_t *op)
 {
-  char name[NAME_LEN];
+  const str_t *key = values_get (&s->prepared, op->name);
 
-  snprintf (name, sizeof name, STR_FMT, STR_ARG (op->name));
-  const char *shape = values_get (&s->prepared, name);
-  return shape && shape[0] == 'w';
+  return key && key->p[0] == 'w';
 }
 
 void
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -34,9 +34,6 @@
   r->deadline = p->now + s->route.timeout;
   r->attempt_end = r->deadline;
   wake_at (p, r->deadline);
-  if (op->kind == OP_EXECUTE)
-    snprintf (r->prepared, sizeof r->prepared, "%c" STR_FMT,
-              op->writes ? 'w' : 'r', STR_ARG (r->op.name));
   if (s->tx == TX_OPEN && s->tx_begun)
     {
       if (op->kind == OP_WRITE || op->writes)
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -139,6 +139,34 @@
 }
 END_TEST
 
+/* Guards against a prepared statement that is unknown, or runs another shape,
+   after its session moved to an owner and back: long shapes that were prepared
+   while the session was forwarded were dropped.  */
+START_TEST (prepared_statements_follow_the_session)
+{
+  stage_t *s = stage_pair ();
+  stage_client_t *c = start_at_non_owner (s, "lead");
+  char text[512], want[512];
+
+  ASK (c, "QUERY p1 PREPARE s1 WRITE two words\r\n", "COMPLETE -");
+  ASK (c, "QUERY e1 EXECUTE s1 7 data\r\n", "COMPLETE sig-db0");
+  ASK (c, "QUERY p2 PREPARE s2 READ three more words\r\n", "COMPLETE -");
+  snprintf (text, sizeof text, "QUERY p3 PREPARE s3 READ %0200d\r\n", 3);
+  ASK (c, text, "COMPLETE -");
+  ASK (c, "QUERY e2 EXECUTE s2 7\r\n", "COMPLETE sig-db0");
+  fail_owner (s);
+  stage_run (s, 600, NULL, NULL);
+  ASK (c, "QUERY e3 EXECUTE s2 8\r\n", "COMPLETE sig-db0");
+  ASK (c, "QUERY e4 EXECUTE s3 9\r\n", "COMPLETE sig-db0");
+  ck_assert_int_eq (stage_count (&s->db[0], "e1 EXECUTE wtwo words 7 data|"),
+                    1);
+  ck_assert_int_eq (stage_count (&s->db[0], "EXECUTE rthree more words"), 2);
+  snprintf (want, sizeof want, "e4 EXECUTE r%0200d 9|", 3);
+  ck_assert_int_eq (stage_count (&s->db[0], want), 1);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a transaction whose statements run at different instances. */
 START_TEST (transaction_runs_at_the_owner)
 {
@@ -269,6 +297,7 @@
   suite_add_tcase (s, d);
   tcase_set_timeout (t, 30);
   tcase_add_test (t, statements_run_at_the_owner);
+  tcase_add_test (t, prepared_statements_follow_the_session);
   tcase_add_test (t, transaction_runs_at_the_owner);
   tcase_add_test (t, write_is_in_doubt_after_owner_fails);
   tcase_add_test (t, read_runs_locally_after_owner_fails);
