fleet: replicas are paused before the next primary is chosen

Callers with sync-replicas 1 lost commits that were answered with success, when a primary was replaced as planned while a replica received nothing (LOST).

Cause: positions were compared once, before the platform's call. Until the promotion takes effect, some 600 ms later, the former primary acknowledged commits of open transactions on the word of any replica, also of one that was not chosen.

With synchronous replicas the survey is followed by PAUSE of the next term, and the positions of paused replicas decide. They stay paused until the promotion was seen or is known not to happen. Where a database answers PAUSE with an error, the takeover waits 600 ms, in which entry instances stop committing at the leaving primary. Ruled out: a barrier of entry instances alone, since one that is cut off from control answers nothing. Services without synchronous replicas see no change.

--- a/include/fleet.h
+++ b/include/fleet.h
@@ -67,13 +67,21 @@
 
 enum
 {
-  PROBE_INTERVAL = 250,       /* ms between probes of a primary */
-  PROBE_TIMEOUT = 300,        /* ms until a probe has failed */
-  REFUSED_LIMIT = 200,        /* ms of refused connections until a primary has
-                                 failed; short, since its process has ended */
-  SILENCE_LIMIT = 450,        /* the same without any answer */
-  SURVEY_TIMEOUT = 250,       /* ms that replicas have to report positions */
+  PROBE_INTERVAL = 250, /* ms between probes of a primary */
+  PROBE_TIMEOUT = 300,  /* ms until a probe has failed */
+  REFUSED_LIMIT = 200,  /* ms of refused connections until a primary has
+                           failed; short, since its process has ended */
+  SILENCE_LIMIT = 450,  /* the same without any answer */
+  SURVEY_TIMEOUT = 250, /* ms that replicas have to report positions, and
+                           to pause */
+  QUIESCE_TIME = 600,   /* ms from the draining of a primary until no entry
+                           instance commits at it any more; matters only
+                           where a database can't be paused */
+  RESUME_DELAY = 5000,  /* ms until a new leader resumes replicas that a
+                           former one may have paused: a call of that one
+                           may still be carried out */
   CALL_RETRY_INTERVAL = 1500, /* ms until an unanswered call is repeated */
+  CALL_ATTEMPTS = 4,          /* calls under one token */
   ROLE_TIMEOUT = 2500,        /* ms until a promoted database has to report its
                                  role; also until an intent is committed */
   TAKEOVER_HOLD_OFF = 1500,   /* ms after a takeover until the next one */
@@ -86,6 +94,8 @@
   TAKEOVER_NONE,
   TAKEOVER_SURVEY, /* request the position of every other database, also of a
                       leaving one */
+  TAKEOVER_PAUSE,  /* pause each of them for term TOKEN */
+  TAKEOVER_RESUME, /* resume each of them */
   TAKEOVER_INTENT, /* record the intent to promote ID */
   TAKEOVER_CALL    /* call the platform to promote ID under TOKEN */
 } takeover_action_kind_t;
@@ -102,6 +112,8 @@
 {
   PHASE_MONITOR, /* the primary works, or is not known to have failed */
   PHASE_SURVEY,  /* positions of the other databases are collected */
+  PHASE_PAUSE,   /* they are paused and report final positions */
+  PHASE_QUIESCE, /* one can't be paused: entry instances stop committing */
   PHASE_INTENT,  /* the intent is being committed */
   PHASE_CALL,    /* the platform is called */
   PHASE_ROLE     /* the call was accepted; the new primary has to report */
@@ -113,7 +125,14 @@
   pos_t pos;
 } survey_t;
 
-/* One service, at the control leader.  */
+/* One service, at the control leader.
+
+   With synchronous replicas an acknowledged commit has to be in the log of the
+   next primary, and the present one may acknowledge commits until it is
+   replaced, on the word of any replica.  So the positions that decide are
+   those of paused replicas, of which the primary gets no more
+   acknowledgements.  They stay paused until the promotion has been seen or is
+   known never to happen.  */
 typedef struct
 {
   char service[FLEET_NAME_SIZE];
@@ -137,6 +156,13 @@
   survey_t survey[SURVEY_MAX];
   int nsurvey; /* databases that have answered */
   int nasked;  /* databases whose answers are expected */
+  bool final; /* no acknowledged commit is later than the positions surveyed */
+  bool paused; /* replicas may be paused, by this leader or a former one */
+  int64_t pause_term; /* of this leader's last pause; 0: none */
+  bool unpausable;    /* a database refused to pause in this takeover */
+  bool call_open;     /* a promote call may be carried out later */
+  msec_t resume_at;   /* replicas aren't resumed before this time */
+  msec_t planned_at;  /* the primary was first seen leaving */
   int attempts;
   char chosen[FLEET_NAME_SIZE];
   int64_t token;
@@ -151,6 +177,10 @@
 void takeover_report (takeover_t *t, str_t id, msec_t ok);
 /* takeover_position: position of a database other than the primary.  */
 void takeover_position (takeover_t *t, str_t id, pos_t pos);
+/* takeover_paused: database ID is paused for TERM and reports its final
+   position.  takeover_unpausable: it refused to pause.  */
+void takeover_paused (takeover_t *t, str_t id, int64_t term, pos_t pos);
+void takeover_unpausable (takeover_t *t, str_t id);
 /* takeover_recorded: the intent is committed; its index is TOKEN.  */
 void takeover_recorded (takeover_t *t, str_t id, int64_t token, msec_t now);
 /* Result of a promote call.  */
--- a/include/proxy.h
+++ b/include/proxy.h
@@ -133,6 +133,7 @@
   bool primary;
   int64_t term;
   pos_t received;
+  int64_t held; /* term of the last pause */
 } db_status_t;
 
 typedef struct
@@ -145,6 +146,10 @@
   void (*op) (buf_t *out, const op_t *op, str_t prepared, pos_t after);
   void (*reset) (buf_t *out);
   void (*status) (buf_t *out);
+  /* PAUSE: a replica receives nothing more until RESUME or a promotion; TERM
+     is above the newest term.  Answered like STATUS.  */
+  void (*pause) (buf_t *out, int64_t term);
+  void (*resume) (buf_t *out);
   bool (*status_row) (str_t row, db_status_t *st);
 } db_codec_t;
 
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -151,7 +151,16 @@
   int64_t term;
 } pending_t;
 
-/* A connection of the leader to a database, for probes and surveys.  */
+/* What a database is asked, apart from probes of a primary.  */
+typedef enum
+{
+  ASK_NOTHING,
+  ASK_STATUS,
+  ASK_PAUSE,
+  ASK_RESUME
+} ask_t;
+
+/* A connection of the leader to a database, for probes and takeovers.  */
 typedef struct probe
 {
   struct probe *next;
@@ -164,7 +173,8 @@
   bool ready;
   int64_t incarnation;
   bool is_primary; /* probed periodically */
-  bool survey;     /* its position is needed */
+  ask_t ask;       /* repeated until it is answered */
+  int64_t pause_term;
   msec_t dialled_at;
   msec_t request_at; /* request in progress, -1: none */
   msec_t next_at;
@@ -321,8 +331,9 @@
 void probes_stop (cell_t *c);
 /* probe_now: probes database ID, the primary of its service, at once.  */
 void probe_now (cell_t *c, str_t id);
-/* probe_survey: requests the positions of SERVICE's other databases.  */
-void probe_survey (cell_t *c, const char *service);
+/* probe_ask: asks all databases of SERVICE but the primary; TERM is that of
+   ASK_PAUSE.  */
+void probe_ask (cell_t *c, const char *service, ask_t ask, int64_t term);
 /* takeovers.c */
 void takeovers_tick (cell_t *c);
 takeover_t *takeover_of (cell_t *c, str_t service);
--- a/lib/cell/probe.c
+++ b/lib/cell/probe.c
@@ -10,12 +10,19 @@
 static const stream_ops_t probe_ops
     = { probe_open, probe_input, probe_closed };
 
+enum
+{
+  BUSY_RETRY = 40 /* ms until a busy database is asked again */
+};
+
 enum
 {
   EXPECT_STARTUP,
   EXPECT_BEGIN,
   EXPECT_ROLLBACK,
-  EXPECT_STATUS
+  EXPECT_STATUS,
+  EXPECT_PAUSE,
+  EXPECT_RESUME
 };
 
 static void
@@ -107,52 +114,88 @@
   op_t end = { .kind = OP_ROLLBACK };
 
   p->request_at = c->now;
-  if (p->survey)
+  switch (p->ask)
     {
+    case ASK_STATUS:
       expect (p, EXPECT_STATUS);
       c->conf.db->status (out);
-    }
-  else
-    {
+      break;
+    case ASK_PAUSE:
+      expect (p, EXPECT_PAUSE);
+      c->conf.db->pause (out, p->pause_term);
+      break;
+    case ASK_RESUME:
+      expect (p, EXPECT_RESUME);
+      c->conf.db->resume (out);
+      break;
+    case ASK_NOTHING:
       expect (p, EXPECT_BEGIN);
       c->conf.db->op (out, &begin, (str_t){ 0 }, (pos_t){ 0 });
       expect (p, EXPECT_ROLLBACK);
       c->conf.db->op (out, &end, (str_t){ 0 }, (pos_t){ 0 });
+      break;
     }
   stream_flush (p->stream);
 }
 
 /* ---- responses ---- */
 
+/* The answer to ASK; false when it was asked something else since.  */
+static bool
+answered (dbprobe_t *p, ask_t ask)
+{
+  if (p->ask != ask || p->takeover == NULL)
+    return false;
+  p->ask = ASK_NOTHING;
+  return true;
+}
+
+/* A busy database runs no PAUSE and is asked again.  */
 static void
-report_position (dbprobe_t *p, pos_t pos)
+pause_answered (dbprobe_t *p)
 {
   takeover_t *t = p->takeover;
 
-  p->survey = false;
-  if (t)
-    takeover_position (t, str_of (p->id), pos);
+  if (p->fail == FAIL_BUSY)
+    {
+      p->next_at = p->cell->now + BUSY_RETRY;
+      return;
+    }
+  if (!answered (p, ASK_PAUSE))
+    return;
+  if (p->fail == FAIL_NONE && p->row && p->status.held >= p->pause_term)
+    takeover_paused (t, str_of (p->id), p->pause_term, p->status.received);
+  else
+    {
+      log_event (EV_PAUSE_REFUSED, "service=%s database=%s term=%lld cause=%s",
+                 p->service, p->id, (long long)p->pause_term,
+                 p->fail ? fail_name (p->fail) : "not-held");
+      takeover_unpausable (t, str_of (p->id));
+    }
 }
 
 static void
 response (dbprobe_t *p, int kind, const db_msg_t *m)
 {
-  if (kind == EXPECT_STARTUP)
-    {
-      p->ready = true;
-      report (p, true, false);
-      p->next_at = p->cell->now;
-    }
   /* Any response shows that the database runs, also an error because it is not
      the primary.  */
-  else if (kind == EXPECT_BEGIN)
+  if (kind != EXPECT_ROLLBACK)
     report (p, true, false);
-  else if (kind == EXPECT_STATUS)
+  if (kind == EXPECT_STARTUP)
     {
-      report (p, true, false);
-      /* A busy database reports its position as well.  */
-      report_position (p, p->row ? p->status.received : m->pos);
+      p->ready = true;
+      p->next_at = p->cell->now;
     }
+  /* A busy database reports its position as well.  */
+  else if (kind == EXPECT_STATUS && answered (p, ASK_STATUS))
+    takeover_position (p->takeover, str_of (p->id),
+                       p->row ? p->status.received : m->pos);
+  else if (kind == EXPECT_PAUSE)
+    pause_answered (p);
+  else if (kind == EXPECT_RESUME && p->fail == FAIL_BUSY)
+    p->next_at = p->cell->now + BUSY_RETRY;
+  else if (kind == EXPECT_RESUME)
+    answered (p, ASK_RESUME);
   p->row = false;
   p->fail = FAIL_NONE;
 }
@@ -285,7 +328,7 @@
 }
 
 void
-probe_survey (cell_t *c, const char *service)
+probe_ask (cell_t *c, const char *service, ask_t ask, int64_t term)
 {
   const takeover_t *t = takeover_of (c, str_of (service));
 
@@ -293,7 +336,8 @@
     if (strcmp (p->service, service) == 0
         && (t == NULL || strcmp (p->id, t->primary) != 0))
       {
-        p->survey = true;
+        p->ask = ask;
+        p->pause_term = term;
         p->next_at = c->now;
       }
 }
@@ -305,7 +349,7 @@
   const cell_t *c = p->cell;
   const takeover_t *t = p->takeover;
 
-  if (p->survey || t == NULL || t->fail_since >= 0)
+  if (p->ask || t == NULL || t->fail_since >= 0)
     return c->now >= p->next_at;
   return c->now >= p->next_at
          && c->now - t->reported_ok_at >= probe_interval (c);
@@ -315,7 +359,7 @@
 tick_one (dbprobe_t *p)
 {
   cell_t *c = p->cell;
-  bool needed = p->is_primary || p->survey;
+  bool needed = p->is_primary || p->ask;
 
   if (p->request_at >= 0 && c->now - p->request_at >= PROBE_TIMEOUT)
     {
--- a/lib/cell/takeovers.c
+++ b/lib/cell/takeovers.c
@@ -85,7 +85,17 @@
     case TAKEOVER_NONE:
       break;
     case TAKEOVER_SURVEY:
-      probe_survey (c, a->service);
+      probe_ask (c, a->service, ASK_STATUS, 0);
+      break;
+    case TAKEOVER_PAUSE:
+      log_event (EV_REPLICAS_PAUSED, "service=%s primary=%s term=%lld",
+                 a->service, t->primary, (long long)a->token);
+      probe_ask (c, a->service, ASK_PAUSE, a->token);
+      break;
+    case TAKEOVER_RESUME:
+      log_event (EV_REPLICAS_RESUMED, "service=%s primary=%s", a->service,
+                 t->primary);
+      probe_ask (c, a->service, ASK_RESUME, 0);
       break;
     case TAKEOVER_INTENT:
       record_intent (c, t, a);
--- a/lib/fleet/takeover.c
+++ b/lib/fleet/takeover.c
@@ -13,6 +13,9 @@
                      .fail_since = -1,
                      .reported_ok_at = -1,
                      .no_primary_since = -1,
+                     .planned_at = -1,
+                     .paused = true,
+                     .resume_at = now + RESUME_DELAY,
                      .hold_until = now + TAKEOVER_HOLD_OFF };
   snprintf (t->service, sizeof t->service, STR_FMT, STR_ARG (service));
 }
@@ -49,11 +52,9 @@
     t->reported_ok_at = ok;
 }
 
-void
-takeover_position (takeover_t *t, str_t id, pos_t pos)
+static void
+note_position (takeover_t *t, str_t id, pos_t pos)
 {
-  if (t->phase != PHASE_SURVEY)
-    return;
   for (int i = 0; i < t->nsurvey; i++)
     if (str_eq (str_of (t->survey[i].id), id))
       {
@@ -67,6 +68,28 @@
   s->pos = pos;
 }
 
+void
+takeover_position (takeover_t *t, str_t id, pos_t pos)
+{
+  if (t->phase == PHASE_SURVEY)
+    note_position (t, id, pos);
+}
+
+void
+takeover_paused (takeover_t *t, str_t id, int64_t term, pos_t pos)
+{
+  if (t->phase == PHASE_PAUSE && term >= t->pause_term)
+    note_position (t, id, pos);
+}
+
+void
+takeover_unpausable (takeover_t *t, str_t id)
+{
+  (void)id;
+  if (t->phase == PHASE_PAUSE)
+    t->unpausable = true;
+}
+
 void
 takeover_recorded (takeover_t *t, str_t id, int64_t token, msec_t now)
 {
@@ -86,7 +109,11 @@
   if (result == CALL_ACCEPTED)
     set_phase (t, PHASE_ROLE, now);
   else if (result == CALL_REFUSED)
-    set_phase (t, PHASE_MONITOR, now);
+    {
+      /* An earlier attempt without an answer may still be carried out.  */
+      t->call_open = t->attempts > 1;
+      set_phase (t, PHASE_MONITOR, now);
+    }
   else
     t->phase_since = now - CALL_RETRY_INTERVAL + PROBE_INTERVAL;
 }
@@ -172,17 +199,58 @@
   return a;
 }
 
+/* Whether a takeover that may have been ordered has to be completed even if
+   the primary works: the replicas stay paused until then.  */
+static bool
+is_forced (const takeover_t *t)
+{
+  return t->paused && t->pause_term > 0 && t->call_open;
+}
+
+static void
+start_survey (takeover_t *t, msec_t now)
+{
+  t->nsurvey = 0;
+  set_phase (t, PHASE_SURVEY, now);
+}
+
+/* Back to PHASE_MONITOR; the next takeover doesn't start before HOLD ms.  */
+static takeover_action_t
+give_up (takeover_t *t, msec_t now, msec_t hold)
+{
+  set_phase (t, PHASE_MONITOR, now);
+  t->hold_until = now + hold;
+  return action (t, TAKEOVER_NONE);
+}
+
+/* Resumes replicas that are or may be paused, once that is harmless.  Of a
+   service without synchronous replicas only this leader can have paused
+   them.  */
+static takeover_action_t
+resume (takeover_t *t, msec_t now)
+{
+  if (!t->paused || t->call_open || now < t->resume_at)
+    return action (t, TAKEOVER_NONE);
+  t->paused = false;
+  if (t->sync_replicas == 0 && t->pause_term == 0)
+    return action (t, TAKEOVER_NONE);
+  return action (t, TAKEOVER_RESUME);
+}
+
 static takeover_action_t
 monitor (takeover_t *t, const roster_table_t *r, const server_t *p, msec_t now)
 {
   t->planned = p && p->leaving;
-  if (now < t->hold_until || !(t->planned || primary_failed (t, p, now)))
+  t->planned_at = !t->planned ? -1 : t->planned_at < 0 ? now : t->planned_at;
+  if (!t->planned && !primary_failed (t, p, now) && !is_forced (t))
+    return resume (t, now);
+  if (now < t->hold_until)
     return action (t, TAKEOVER_NONE);
   if (count_replicas (t, r, p, false) == 0)
     return action (t, TAKEOVER_NONE);
   t->nasked = count_replicas (t, r, p, t->sync_replicas > 0);
-  t->nsurvey = 0;
-  set_phase (t, PHASE_SURVEY, now);
+  t->final = t->unpausable = false;
+  start_survey (t, now);
   return action (t, TAKEOVER_SURVEY);
 }
 
@@ -215,28 +283,112 @@
   return best;
 }
 
+/* Whether the survey is to be ended since the primary works.  */
+static bool
+is_unneeded (const takeover_t *t, const server_t *p, msec_t now)
+{
+  return p && !p->leaving && !primary_failed (t, p, now) && !is_forced (t);
+}
+
+static takeover_action_t
+decide (takeover_t *t, const roster_table_t *r, msec_t now)
+{
+  const survey_t *best = choose (t, r);
+
+  /* Too few answered, or a leaving one is ahead: repeat the survey.  */
+  if (best == NULL)
+    return give_up (t, now, PROBE_INTERVAL);
+  memcpy (t->chosen, best->id, sizeof t->chosen);
+  set_phase (t, PHASE_INTENT, now);
+  return action (t, TAKEOVER_INTENT);
+}
+
+/* Pauses the replicas for the term after the newest one.  */
+static takeover_action_t
+start_pause (takeover_t *t, msec_t now)
+{
+  int64_t newest = 0;
+
+  for (int i = 0; i < t->nsurvey; i++)
+    if (t->survey[i].pos.term > newest)
+      newest = t->survey[i].pos.term;
+  t->pause_term = newest + 1;
+  t->paused = true;
+  t->nsurvey = 0;
+  set_phase (t, PHASE_PAUSE, now);
+  takeover_action_t a = action (t, TAKEOVER_PAUSE);
+  a.token = t->pause_term;
+  return a;
+}
+
 static takeover_action_t
 survey (takeover_t *t, const roster_table_t *r, const server_t *p, msec_t now)
 {
+  if (is_unneeded (t, p, now))
+    return give_up (t, now, 0);
+  if (t->nsurvey < t->nasked && now - t->phase_since < SURVEY_TIMEOUT)
+    return action (t, TAKEOVER_NONE);
+  if (t->sync_replicas == 0 || t->final)
+    return decide (t, r, now);
+  /* Pausing is in vain while no database can be chosen.  */
+  if (choose (t, r) == NULL)
+    return give_up (t, now, PROBE_INTERVAL);
+  return start_pause (t, now);
+}
 
-  if (p && !p->leaving && !primary_failed (t, p, now))
+static takeover_action_t
+pause_replicas (takeover_t *t, const roster_table_t *r, const server_t *p,
+                msec_t now)
+{
+  if (is_unneeded (t, p, now))
+    return give_up (t, now, 0);
+  if (t->unpausable)
     {
-      set_phase (t, PHASE_MONITOR, now);
+      set_phase (t, PHASE_QUIESCE, now);
       return action (t, TAKEOVER_NONE);
     }
   if (t->nsurvey < t->nasked && now - t->phase_since < SURVEY_TIMEOUT)
     return action (t, TAKEOVER_NONE);
-  const survey_t *best = choose (t, r);
-  if (best == NULL)
+  return decide (t, r, now);
+}
+
+/* A failed primary is not waited for.  */
+static takeover_action_t
+quiesce (takeover_t *t, const server_t *p, msec_t now)
+{
+  if (is_unneeded (t, p, now))
+    return give_up (t, now, 0);
+  if (t->planned && now - t->planned_at < QUIESCE_TIME)
+    return action (t, TAKEOVER_NONE);
+  t->final = true;
+  start_survey (t, now);
+  return action (t, TAKEOVER_SURVEY);
+}
+
+static takeover_action_t
+call (takeover_t *t, msec_t now)
+{
+  if (t->attempts > 0 && now - t->phase_since < CALL_RETRY_INTERVAL)
+    return action (t, TAKEOVER_NONE);
+  if (t->attempts == CALL_ATTEMPTS)
+    return give_up (t, now, 0);
+  t->phase_since = now;
+  t->attempts++;
+  t->call_open = true;
+  return action (t, TAKEOVER_CALL);
+}
+
+static takeover_action_t
+await_role (takeover_t *t, const server_t *p, msec_t now)
+{
+  if (p && strcmp (p->id, t->chosen) == 0)
     {
-      /* Too few answered, or a leaving one is ahead: repeat the survey.  */
-      set_phase (t, PHASE_MONITOR, now);
-      t->hold_until = now + PROBE_INTERVAL;
-      return action (t, TAKEOVER_NONE);
+      t->call_open = false;
+      t->resume_at = now;
+      return give_up (t, now, TAKEOVER_HOLD_OFF);
     }
-  memcpy (t->chosen, best->id, sizeof t->chosen);
-  set_phase (t, PHASE_INTENT, now);
-  return action (t, TAKEOVER_INTENT);
+  return now - t->phase_since > ROLE_TIMEOUT ? give_up (t, now, 0)
+                                             : action (t, TAKEOVER_NONE);
 }
 
 /* The primary according to the roster, which is searched after a change only:
@@ -267,31 +419,19 @@
       return monitor (t, r, p, now);
     case PHASE_SURVEY:
       return survey (t, r, p, now);
+    case PHASE_PAUSE:
+      return pause_replicas (t, r, p, now);
+    case PHASE_QUIESCE:
+      return quiesce (t, p, now);
     case PHASE_INTENT:
       /* The record may have been dropped when the leadership changed.  */
       if (now - t->phase_since > ROLE_TIMEOUT)
-        set_phase (t, PHASE_MONITOR, now);
+        return give_up (t, now, 0);
       break;
     case PHASE_CALL:
-      if (t->attempts == 0 || now - t->phase_since >= CALL_RETRY_INTERVAL)
-        {
-          t->phase_since = now;
-          if (t->attempts++ < 4)
-            return action (t, TAKEOVER_CALL);
-          set_phase (t, PHASE_MONITOR, now);
-        }
-      break;
+      return call (t, now);
     case PHASE_ROLE:
-      if ((p && strcmp (p->id, t->chosen) == 0)
-          || now - t->phase_since > ROLE_TIMEOUT)
-        {
-          t->hold_until
-              = now
-                + (p && strcmp (p->id, t->chosen) == 0 ? TAKEOVER_HOLD_OFF
-                                                       : 0);
-          set_phase (t, PHASE_MONITOR, now);
-        }
-      break;
+      return await_role (t, p, now);
     }
   return action (t, TAKEOVER_NONE);
 }
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -285,6 +285,7 @@
       const service_entry_t *x = LIST_AT (n->services, service_entry_t, i);
       service_t *v = service_get (p, x->name);
       v->connections = (int)x->connections;
+      v->sync_replicas = (int)x->sync_replicas;
       v->setup_version = n->version;
     }
   log_event (EV_SETUP, "version=%lld routes=%zu", (long long)n->version,
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -183,6 +183,7 @@
   proxy_t *proxy;
   char name[NAME_LEN];
   int connections;       /* limit of each database, all instances together */
+  int sync_replicas;     /* that acknowledge each commit */
   int64_t setup_version; /* last configuration that contains it; 0: none */
   /* Instances of this zone that own connections to it.  */
   int owner[OWNERS_MAX]; /* indexes into proxy_t.endpoint */
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -20,6 +20,23 @@
   r->op.arg.p = b->p + op->id.n + op->name.n;
 }
 
+/* Whether the primary that runs the transaction is being replaced and OP would
+   have its writes acknowledged there.  Control chooses the next primary by
+   positions that then have to be final, if there are synchronous replicas.  */
+static bool
+is_handed_over (const session_t *s, const op_t *op)
+{
+  const db_t *d = s->link->db;
+
+  if (s->service->sync_replicas == 0 || !d->leaving
+      || !(op->writes || (op->kind == OP_COMMIT && s->tx_wrote)))
+    return false;
+  for (const db_t *x = s->service->dbs; x; x = x->next)
+    if (x != d && !x->leaving && !x->gone)
+      return true;
+  return false;
+}
+
 void
 statement_start (session_t *s, const op_t *op)
 {
@@ -34,6 +51,11 @@
   r->deadline = p->now + s->route.timeout;
   r->attempt_end = r->deadline;
   wake_at (p, r->deadline);
+  if (s->tx == TX_OPEN && s->tx_begun && is_handed_over (s, op))
+    {
+      statement_abort (s, STR ("the primary is being replaced"));
+      return;
+    }
   if (s->tx == TX_OPEN && s->tx_begun)
     {
       if (op->kind == OP_WRITE || op->writes)
--- a/test/stage.c
+++ b/test/stage.c
@@ -385,7 +385,7 @@
     { STR ("own"), STR ("svc"), FRESH_SESSION, 2500, s->timeout, 200, 2 },
     { STR ("new"), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 2 },
   };
-  service_entry_t v = { STR ("svc"), s->connections, 0 };
+  service_entry_t v = { STR ("svc"), s->connections, s->sync_replicas };
   setup_t m = { .version = s->version,
                 .tx_idle = s->tx_idle,
                 .routes = { r, s->extra_route ? 4 : 3 },
--- a/test/stage.h
+++ b/test/stage.h
@@ -58,6 +58,7 @@
   int second_port;
   char endpoint[2][32]; /* of both instances */
   int connections;      /* to each database */
+  int sync_replicas;
   int entries;
   stage_db_t db[STAGE_DBS];
   int port;
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -139,7 +139,11 @@
   char address[32];
   bool up;
   bool primary;
+  bool leaving;
+  bool paused;
   int64_t position; /* in its log */
+  int64_t arrives;  /* commits that arrive just before it pauses */
+  int resumes;      /* RESUMEs received */
   int64_t seq;
   int receiver; /* control instance that gets its heartbeats */
 } db_t;
@@ -173,6 +177,20 @@
   else if (strstr (text, " STATUS"))
     buf_fmt (out, "ROW %s 1 1.%lld 0 12 2 17\r\nCOMPLETE -\r\n",
              d->primary ? "primary" : "replica", (long long)d->position);
+  else if (strstr (text, " PAUSE 2"))
+    {
+      d->position += d->arrives;
+      d->arrives = 0;
+      d->paused = true;
+      buf_fmt (out, "ROW replica 1 1.%lld 2 12 2 17\r\nCOMPLETE -\r\n",
+               (long long)d->position);
+    }
+  else if (strstr (text, " RESUME"))
+    {
+      d->paused = false;
+      d->resumes++;
+      buf_adds (out, STR ("COMPLETE -\r\n"));
+    }
   else if (strncmp (text, "QUERY", 5) == 0)
     buf_adds (out, STR ("COMPLETE -\r\n"));
   buf_fmt (out, "READY %c 1.%lld\r\n",
@@ -241,7 +259,8 @@
                   .zone = STR ("z1"),
                   .born = 1,
                   .seq = ++d->seq,
-                  .primary = d->primary };
+                  .primary = d->primary,
+                  .leaving = d->leaving };
   err_t e = { 0 };
 
   if (d->up && w->cell[d->receiver] && !w->stopped[d->receiver])
@@ -457,6 +476,53 @@
 }
 END_TEST
 
+static void
+submit_sync_replicas (fixture_t *w)
+{
+  service_entry_t v = { STR ("svc"), 10, 1 };
+  setup_t m = { .version = 1, .services = { &v, 1 } };
+  buf_t b;
+
+  buf_init (&b);
+  rpc_pack (&b, MSG_SETUP, &m);
+  cell_submit (w->cell[leader (w)], 1, buf_str (&b), STR ("{}"), 1);
+  buf_free (&b);
+}
+
+static bool
+has_resumed (fixture_t *w)
+{
+  return w->db[1].resumes && !w->db[1].paused && !w->db[2].paused;
+}
+
+/* Guards against a planned replacement whose new primary lacks a commit that
+   the former one acknowledged, on the word of the other replica, after the
+   positions were compared; and against replicas that stay paused after it
+   (review/1).  */
+START_TEST (planned_replacement_keeps_late_commits)
+{
+  fixture_t *w = fixture_new ();
+
+  submit_sync_replicas (w);
+  start_databases (w, leader (w));
+  run (w, 2000, NULL);
+  w->db[0].leaving = true;
+  w->db[1].position = 11;
+  w->db[2].arrives = 5;
+  w->heartbeat_at = 0;
+  ck_assert (run (w, 5000, has_promoted));
+  ck_assert_str_eq (w->promoted, "db2");
+  ck_assert (w->db[1].paused && w->db[2].paused);
+  w->db[2].primary = true;
+  w->db[2].paused = false;
+  w->db[0].primary = false;
+  w->heartbeat_at = 0;
+  ck_assert (run (w, 1000, has_resumed));
+  ck_assert_int_eq (w->promotes, 1);
+  fixture_free (w);
+}
+END_TEST
+
 static bool
 has_promoted_twice (fixture_t *w)
 {
@@ -663,6 +729,7 @@
   tcase_set_timeout (t, 60);
   tcase_add_test (t, lost_roster_update_is_sent_again);
   tcase_add_test (t, failed_primary_is_replaced_by_the_most_advanced);
+  tcase_add_test (t, planned_replacement_keeps_late_commits);
   tcase_add_test (t, unanswered_promotion_keeps_its_token);
   tcase_add_test (t, replaced_instance_is_removed);
   tcase_add_test (t, planned_replacement_is_removed);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -516,12 +516,173 @@
   takeover_position (&s.t, STR ("b"), (pos_t){ 1, 8 });
   takeover_position (&s.t, STR ("a"), (pos_t){ 1, 8 });
   takeover_action_t a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKEOVER_PAUSE);
+  takeover_paused (&s.t, STR ("b"), a.token, (pos_t){ 1, 8 });
+  takeover_paused (&s.t, STR ("a"), a.token, (pos_t){ 1, 8 });
+  a = tick (&s);
   ck_assert_int_eq (a.kind, TAKEOVER_INTENT);
   ck_assert_str_eq (a.id, "a");
   roster_free (&s.r);
 }
 END_TEST
 
+/* The takeover of a draining primary with one synchronous replica, up to the
+   answer of both replicas to the survey.  */
+static void
+start_release (fixture_t *s)
+{
+  backend_t p = heartbeat ("p", "127.0.0.1:1", 1, 2);
+  err_t e = { 0 };
+
+  fixture_init (s);
+  s->t.sync_replicas = 1;
+  p.primary = p.leaving = true;
+  roster_heartbeat (&s->r, &p, s->now, &e);
+  s->now += 10;
+  ck_assert_int_eq (tick (s).kind, TAKEOVER_SURVEY);
+  takeover_position (&s->t, STR ("a"), (pos_t){ 3, 7 });
+  takeover_position (&s->t, STR ("b"), (pos_t){ 3, 7 });
+}
+
+/* Guards against a planned replacement that loses commits which the former
+   primary acknowledged after the positions were compared: the replicas are
+   paused for the next term first, and compared then (review/1).  */
+START_TEST (replicas_are_paused_before_they_are_compared)
+{
+  fixture_t s;
+
+  start_release (&s);
+  takeover_action_t a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKEOVER_PAUSE);
+  ck_assert_int_eq (a.token, 4);
+  takeover_position (&s.t, STR ("b"), (pos_t){ 3, 7 });
+  takeover_paused (&s.t, STR ("a"), 3, (pos_t){ 3, 7 });
+  takeover_paused (&s.t, STR ("a"), 4, (pos_t){ 3, 7 });
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  takeover_paused (&s.t, STR ("b"), 4, (pos_t){ 3, 9 });
+  a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKEOVER_INTENT);
+  ck_assert_str_eq (a.id, "b");
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against a promotion while a replica that may still acknowledge
+   commits has not been paused.  */
+START_TEST (replica_that_is_not_paused_holds_up_the_promotion)
+{
+  fixture_t s;
+
+  start_release (&s);
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_PAUSE);
+  takeover_paused (&s.t, STR ("a"), 4, (pos_t){ 3, 7 });
+  s.now += SURVEY_TIMEOUT;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  ck_assert_int_eq (s.t.phase, PHASE_MONITOR);
+  s.now += PROBE_INTERVAL;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_SURVEY);
+  roster_free (&s.r);
+}
+END_TEST
+
+static void
+primary_stays (fixture_t *s)
+{
+  backend_t p = heartbeat ("p", "127.0.0.1:1", 2, 1);
+  err_t e = { 0 };
+
+  p.primary = true;
+  ck_assert (roster_heartbeat (&s->r, &p, s->now, &e));
+  takeover_probe (&s->t, STR ("p"), true, false, s->now, s->now);
+}
+
+/* Guards against replicas that stay paused after a takeover that was given up:
+   the primary would wait for them with each commit.  */
+START_TEST (replicas_are_resumed_without_a_takeover)
+{
+  fixture_t s;
+
+  start_release (&s);
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_PAUSE);
+  primary_stays (&s);
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  ck_assert_int_eq (s.t.phase, PHASE_MONITOR);
+  s.now += RESUME_DELAY;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_RESUME);
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against replicas that are resumed while an unanswered call may still
+   promote one of them, which would then lack what was committed since.  */
+START_TEST (replicas_stay_paused_while_a_call_is_open)
+{
+  fixture_t s;
+
+  start_release (&s);
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_PAUSE);
+  takeover_paused (&s.t, STR ("a"), 4, (pos_t){ 3, 7 });
+  takeover_paused (&s.t, STR ("b"), 4, (pos_t){ 3, 7 });
+  takeover_action_t a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKEOVER_INTENT);
+  takeover_recorded (&s.t, str_of (a.id), 5, s.now);
+  for (int i = 0; i < CALL_ATTEMPTS; i++)
+    {
+      ck_assert_int_eq (tick (&s).kind, TAKEOVER_CALL);
+      s.now += CALL_RETRY_INTERVAL;
+    }
+  primary_stays (&s);
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  s.now += RESUME_DELAY;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_SURVEY);
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against a promotion by positions that aren't final where a database
+   can't be paused: entry instances get the time to stop committing.  */
+START_TEST (unpausable_replica_is_surveyed_when_commits_have_ended)
+{
+  fixture_t s;
+
+  start_release (&s);
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_PAUSE);
+  takeover_unpausable (&s.t, STR ("a"));
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  s.now += QUIESCE_TIME - 1;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  s.now += 1;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_SURVEY);
+  takeover_position (&s.t, STR ("a"), (pos_t){ 3, 8 });
+  takeover_position (&s.t, STR ("b"), (pos_t){ 3, 12 });
+  takeover_action_t a = tick (&s);
+  ck_assert_int_eq (a.kind, TAKEOVER_INTENT);
+  ck_assert_str_eq (a.id, "b");
+  roster_free (&s.r);
+}
+END_TEST
+
+/* Guards against replicas that stay paused for good when the control leader
+   that paused them ended; and against orders to replicas of services without
+   synchronous ones.  */
+START_TEST (new_leader_resumes_replicas)
+{
+  fixture_t s;
+
+  fixture_init (&s);
+  s.t.sync_replicas = 1;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  s.now += RESUME_DELAY;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_RESUME);
+  roster_free (&s.r);
+  fixture_init (&s);
+  s.now += RESUME_DELAY;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  roster_free (&s.r);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -547,6 +708,12 @@
   tcase_add_test (t, unanswered_call_is_repeated_unchanged);
   tcase_add_test (t, leaving_primary_is_replaced);
   tcase_add_test (t, synchronous_commits_are_kept);
+  tcase_add_test (t, replicas_are_paused_before_they_are_compared);
+  tcase_add_test (t, replica_that_is_not_paused_holds_up_the_promotion);
+  tcase_add_test (t, replicas_are_resumed_without_a_takeover);
+  tcase_add_test (t, replicas_stay_paused_while_a_call_is_open);
+  tcase_add_test (t, unpausable_replica_is_surveyed_when_commits_have_ended);
+  tcase_add_test (t, new_leader_resumes_replicas);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -201,7 +201,9 @@
   ck_assert_int_eq (pf_db.decode (STR ("OTHER x\r\n"), &used, &m), -1);
   ck_assert (pf_db.status_row (STR ("replica 3 3.1209 0 12 2 17"), &st));
   ck_assert (!st.primary && st.term == 3 && st.received.number == 1209);
+  ck_assert_int_eq (st.held, 0);
   ck_assert (!pf_db.status_row (STR ("replica"), &st));
+  ck_assert (!pf_db.status_row (STR ("replica 3 3.1209"), &st));
 }
 END_TEST
 
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -548,6 +548,33 @@
 }
 END_TEST
 
+/* Guards against a commit that a leaving primary acknowledges although its
+   successor has been chosen without it, with synchronous replicas; and against
+   aborting a transaction whose writes need no acknowledgement (review/1).  */
+START_TEST (leaving_primary_commits_no_synchronous_write)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *a = stage_session (s, "own");
+  stage_client_t *b = stage_session (s, "own");
+
+  s->sync_replicas = 1;
+  s->version = 2;
+  stage_run (s, 700, NULL, NULL);
+  ASK (a, "QUERY a1 BEGIN\r\n", "READY T");
+  ASK (a, "QUERY a2 WRITE 7 x\r\n", "READY T");
+  ASK (b, "QUERY b1 BEGIN\r\n", "READY T");
+  ASK (b, "QUERY b2 READ 7\r\n", "READY T");
+  s->db[0].leaving = true;
+  s->roster++;
+  stage_run (s, 700, NULL, NULL);
+  ASK (a, "QUERY a3 COMMIT\r\n", "ERROR ABORTED");
+  ck_assert_ptr_nonnull (strstr (a->received, "READY I"));
+  ASK (b, "QUERY b3 COMMIT\r\n", "COMPLETE sig-db0");
+  ck_assert_int_eq (stage_count (&s->db[0], "a3 COMMIT"), 0);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a planned stop that aborts an open transaction, and against
    one that keeps an idle session open.  */
 START_TEST (stop_lets_open_transaction_finish)
@@ -822,6 +849,7 @@
   tcase_add_test (t, control_instance_without_leader_is_replaced);
   tcase_add_test (t, control_instance_of_own_zone_is_preferred);
   tcase_add_test (t, draining_database_gets_no_statements);
+  tcase_add_test (t, leaving_primary_commits_no_synchronous_write);
   tcase_add_test (t, stop_lets_open_transaction_finish);
   tcase_add_test (t, stop_closes_a_session_after_its_answer);
   tcase_add_test (t, cut_off_instance_is_not_ready);
