proxy: a name is kept whole or refused, never shortened

Clients of a host of 64 bytes were served by the service of the host that its first 63 bytes name (ROUTE).

Cause: session_t.host was a field of 64 bytes, and a longer host was cut before the look-up.

Hosts, services and paths are length-counted now. A record of a database that is gone passes the check as well, and enters no service.

--- a/include/base.h
+++ b/include/base.h
@@ -43,6 +43,10 @@
 /* str_int: parses S as a decimal int64.  False when S is empty, has other
    characters or is out of range.  */
 bool str_int (str_t s, int64_t *out);
+/* str_copy: copies S with a NUL to the field TO of SIZE bytes.  False, with
+   TO unchanged, when it doesn't fit or contains a NUL: a shortened name would
+   be that of something else.  */
+bool str_copy (char *to, size_t size, str_t s);
 /* str_hash: XXH3 64-bit hash.  */
 uint64_t str_hash (str_t s);
 
--- a/include/cell.h
+++ b/include/cell.h
@@ -26,9 +26,9 @@
 typedef struct
 {
   cell_status_t status;
-  char address[64]; /* rpc address of the leader */
-  str_t document;   /* of a read: the bytes as submitted; valid during the
-                       call */
+  char address[NAME_SIZE]; /* rpc address of the leader */
+  str_t document; /* of a read: the bytes as submitted; valid during the
+                     call */
 } cell_answer_t;
 
 typedef struct
--- a/include/fleet.h
+++ b/include/fleet.h
@@ -15,18 +15,17 @@
   ROSTER_TIMEOUT = 60000,    /* ms without heartbeat; then deregistered */
   ROSTER_RETENTION = 120000, /* ms that a deregistered one is kept, to refuse
                                 late heartbeats of the same start */
-  SEQ_JUMP_MAX = 1000000,    /* heartbeats that may be missed in a row */
-  FLEET_NAME_SIZE = 64       /* bytes, with the NUL */
+  SEQ_JUMP_MAX = 1000000     /* heartbeats that may be missed in a row */
 };
 
 /* ---- roster ---- */
 
 typedef struct
 {
-  char id[FLEET_NAME_SIZE];
-  char service[FLEET_NAME_SIZE];
-  char address[FLEET_NAME_SIZE];
-  char zone[FLEET_NAME_SIZE];
+  char id[NAME_SIZE];
+  char service[NAME_SIZE];
+  char address[NAME_SIZE];
+  char zone[NAME_SIZE];
   int64_t incarnation; /* orders the starts under one id */
   int64_t seq;         /* orders the heartbeats of one start */
   int64_t slots;
@@ -103,8 +102,8 @@
 typedef struct
 {
   takeover_action_kind_t kind;
-  char service[FLEET_NAME_SIZE];
-  char id[FLEET_NAME_SIZE];
+  char service[NAME_SIZE];
+  char id[NAME_SIZE];
   int64_t token;
 } takeover_action_t;
 
@@ -121,7 +120,7 @@
 
 typedef struct
 {
-  char id[FLEET_NAME_SIZE];
+  char id[NAME_SIZE];
   pos_t pos;
 } survey_t;
 
@@ -135,11 +134,11 @@
    known never to happen.  */
 typedef struct
 {
-  char service[FLEET_NAME_SIZE];
-  char primary[FLEET_NAME_SIZE]; /* "" while none is known */
-  int64_t roster_revision;       /* of the roster that PRIMARY was taken from,
-                                    -1: none */
-  bool has_primary;              /* that roster lists PRIMARY as such */
+  char service[NAME_SIZE];
+  char primary[NAME_SIZE]; /* "" while none is known */
+  int64_t roster_revision; /* of the roster that PRIMARY was taken from,
+                              -1: none */
+  bool has_primary;        /* that roster lists PRIMARY as such */
   phase_t phase;
   msec_t phase_since;
   msec_t probe_ok_at;      /* last successful probe of the primary, -1: none */
@@ -164,7 +163,7 @@
   msec_t resume_at;   /* replicas aren't resumed before this time */
   msec_t planned_at;  /* the primary was first seen leaving */
   int attempts;
-  char chosen[FLEET_NAME_SIZE];
+  char chosen[NAME_SIZE];
   int64_t token;
 } takeover_t;
 
--- a/include/httpd.h
+++ b/include/httpd.h
@@ -33,10 +33,10 @@
   str_t type; /* content type */
   str_t location;
   buf_t reply;
-  bool queued;    /* put into the ring */
-  bool done;      /* httpd_respond was called */
-  void *conn;     /* struct MHD_Connection */
-  char line[256]; /* method and path */
+  bool queued; /* put into the ring */
+  bool done;   /* httpd_respond was called */
+  void *conn;  /* struct MHD_Connection */
+  char line[]; /* method and path */
 } httpd_req_t;
 
 typedef struct
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -523,11 +523,23 @@
                                      */
 #define SEQ_MAX (INT64_C (1) << 53) /* exact in every JSON reader */
 
+enum
+{
+  NAME_MAX_BYTES = 255, /* of the id, service or zone of a backend server, and
+                           of the name or zone of an instance */
+  NAME_SIZE = NAME_MAX_BYTES + 1
+};
+
 /* backend_check: whether B can be used: names, address with a port, and
    numbers within their bounds.  ERR_RANGE with the field.  Wherever a record
    comes from (heartbeat, log, snapshot, another instance), one that fails is
    left out and the others are used.  */
 bool backend_check (const backend_t *b, err_t *e);
+/* name_check: whether S, the value of FIELD, is a name: 1 to NAME_MAX_BYTES
+   printable characters without blanks.  address_check: whether it is
+   IP-NUMBER:PORT.  ERR_RANGE otherwise.  */
+bool name_check (str_t s, const char *field, err_t *e);
+bool address_check (str_t s, const char *field, err_t *e);
 /* setup_bound: limits the numbers of a valid configuration to what the program
    can represent; returns how many it changed.  */
 int setup_bound (setup_t *s);
--- a/lib/base/str.c
+++ b/lib/base/str.c
@@ -91,6 +91,17 @@
   return true;
 }
 
+bool
+str_copy (char *to, size_t size, str_t s)
+{
+  if (s.n >= size || (s.n && memchr (s.p, '\0', s.n)))
+    return false;
+  if (s.n)
+    memmove (to, s.p, s.n);
+  to[s.n] = '\0';
+  return true;
+}
+
 uint64_t
 str_hash (str_t s)
 {
--- a/lib/cell/endpoint.c
+++ b/lib/cell/endpoint.c
@@ -47,9 +47,8 @@
 {
   cell_endpoint_t *x = calloc (1, sizeof *x);
 
-  if (x == NULL)
-    abort ();
-  snprintf (x->address, sizeof x->address, STR_FMT, STR_ARG (address));
+  if (x == NULL || !str_copy (x->address, sizeof x->address, address))
+    abort (); /* add has checked its length */
   apr_hash_set (t->by_address, x->address, (apr_ssize_t)strlen (x->address),
                 x);
   t->n++;
@@ -64,12 +63,13 @@
 
   if (x && !x->gone)
     return x;
-  if (address.n >= sizeof x->address || zone.n >= sizeof x->zone)
+  if (!address_check (address, "endpoint", NULL) || zone.n >= sizeof x->zone)
     return NULL;
   if (x == NULL)
     x = create (t, address);
   x->gone = x->direct = false;
-  snprintf (x->zone, sizeof x->zone, STR_FMT, STR_ARG (zone));
+  if (!str_copy (x->zone, sizeof x->zone, zone))
+    return NULL;
   mark_changed (t, x);
   return x;
 }
@@ -98,9 +98,14 @@
 
   if (x && !x->gone && !str_eq (str_of (r->endpoint), m->address))
     drop (c, x);
-  snprintf (r->endpoint, sizeof r->endpoint, STR_FMT, STR_ARG (m->address));
-  snprintf (r->zone, sizeof r->zone, STR_FMT, STR_ARG (m->zone));
   r->takes_changes = m->takes_changes;
+  if (!str_copy (r->endpoint, sizeof r->endpoint, m->address)
+      || !str_copy (r->zone, sizeof r->zone, m->zone))
+    {
+      log_event (EV_ENDPOINT_LEFT_OUT, "address=" STR_FMT " zone=" STR_FMT,
+                 STR_ARG (m->address), STR_ARG (m->zone));
+      return;
+    }
   if (m->address.n == 0 || (x = add (c, m->address, m->zone)) == NULL)
     return;
   set_direct (c, x, true);
@@ -134,9 +139,10 @@
       if (x == NULL
           || (x->direct && c->now - x->reported_at < ENTRY_REPORT_GAP))
         continue;
+      if (!str_copy (x->reporter, sizeof x->reporter, m->from))
+        continue;
       set_direct (c, x, false);
       x->reported_at = c->now;
-      snprintf (x->reporter, sizeof x->reporter, STR_FMT, STR_ARG (m->from));
     }
 }
 
--- a/lib/cell/join.c
+++ b/lib/cell/join.c
@@ -17,8 +17,7 @@
       if (str_eq (address[i], c->conf.address))
         continue;
       *o = (contact_t){ .answered_at = -1 };
-      snprintf (o->address, sizeof o->address, STR_FMT, STR_ARG (address[i]));
-      j->ncontact++;
+      j->ncontact += str_copy (o->address, sizeof o->address, address[i]);
     }
 }
 
@@ -85,10 +84,8 @@
     if (str_eq (str_of (j->contact[i].address), address))
       return;
   j->contact[j->ncontact] = (contact_t){ .answered_at = -1 };
-  snprintf (j->contact[j->ncontact].address,
-            sizeof j->contact[j->ncontact].address, STR_FMT,
-            STR_ARG (address));
-  j->ncontact++;
+  j->ncontact
+      += str_copy (j->contact[j->ncontact].address, NAME_SIZE, address);
 }
 
 /* Members that are not seeds may know the leader as well.  */
@@ -141,10 +138,10 @@
   for (size_t i = 0; r && i < c->join.ncontact; i++)
     {
       contact_t *o = &c->join.contact[i];
-      if (strcmp (o->address, r->address) != 0)
+      if (strcmp (o->address, r->address) != 0
+          || !str_copy (o->name, sizeof o->name, m->name)
+          || !str_copy (o->zone, sizeof o->zone, m->zone))
         continue;
-      snprintf (o->name, sizeof o->name, STR_FMT, STR_ARG (m->name));
-      snprintf (o->zone, sizeof o->zone, STR_FMT, STR_ARG (m->zone));
       o->id = m->id;
       o->has_log = m->has_log;
       o->answered_at = c->now;
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -64,7 +64,7 @@
   remote_t *next;
   struct cell *cell;
   stream_t *stream;
-  char address[64]; /* remote address, when this side connected */
+  char address[NAME_SIZE]; /* remote address, when this side connected */
   msec_t dialled_at;
   msec_t request_at;   /* oldest request without a response, -1: none */
   int64_t roster_sent; /* revision of the roster sent over this connection,
@@ -78,8 +78,8 @@
   int64_t updates;      /* sent over this connection */
   int64_t members_sent; /* number of the membership sent last */
   bool leader_sent;     /* whether a leader was known, as sent last */
-  char endpoint[64];
-  char zone[64];
+  char endpoint[NAME_SIZE];
+  char zone[NAME_SIZE];
   bool takes_changes;     /* it merges changes of endpoints into its list */
   int64_t endpoints_sent; /* revision of the endpoints sent to this entry
                              instance, or of the direct ones sent to this
@@ -92,11 +92,12 @@
 {
   struct cell_endpoint *next; /* changed before this one */
   struct cell_endpoint *prev;
-  char address[64];
-  char zone[64];
-  char reporter[64]; /* control instance that reported it, unless DIRECT */
-  bool direct;       /* the entry instance reports to this one */
-  bool gone;         /* no longer reported; kept to pass this on */
+  char address[NAME_SIZE];
+  char zone[NAME_SIZE];
+  char reporter[NAME_SIZE]; /* control instance that reported it, unless DIRECT
+                             */
+  bool direct;              /* the entry instance reports to this one */
+  bool gone;                /* no longer reported; kept to pass this on */
   msec_t reported_at;
   int64_t changed; /* revision of the endpoints at the last change */
 } cell_endpoint_t;
@@ -117,9 +118,9 @@
 
 typedef struct
 {
-  char name[64];
-  char address[64];
-  char zone[64];
+  char name[NAME_SIZE];
+  char address[NAME_SIZE];
+  char zone[NAME_SIZE];
   int64_t id;
   bool has_log;
   msec_t answered_at;
@@ -165,9 +166,9 @@
 {
   struct probe *next;
   struct cell *cell;
-  char id[FLEET_NAME_SIZE];
-  char service[FLEET_NAME_SIZE];
-  char address[FLEET_NAME_SIZE];
+  char id[NAME_SIZE];
+  char service[NAME_SIZE];
+  char address[NAME_SIZE];
   takeover_t *takeover; /* of the service; NULL beyond SERVICES_MAX */
   stream_t *stream;
   bool ready;
@@ -216,7 +217,7 @@
   /* Entry instances connected to the other control instances.  */
   struct
   {
-    char name[64];
+    char name[NAME_SIZE];
     int64_t entries;
     msec_t at;
   } peer_entries[PEERS_MAX];
--- a/lib/cell/peers.c
+++ b/lib/cell/peers.c
@@ -151,8 +151,10 @@
     r = r->next;
   if (r == NULL)
     {
+      if (!address_check (address, "address", &e))
+        return NULL;
       r = remote_new (c);
-      snprintf (r->address, sizeof r->address, STR_FMT, STR_ARG (address));
+      str_copy (r->address, sizeof r->address, address);
       r->dialled_at = c->now - REDIAL_INTERVAL;
     }
   if (r->stream == NULL && c->now - r->dialled_at >= REDIAL_INTERVAL)
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -221,9 +221,9 @@
   cell_answer_t a = { .status = status };
   const member_t *m = raft_member (c->raft, raft_leader (c->raft));
 
-  if (status == CELL_NOT_LEADER && m && m->id != raft_id (c->raft))
-    snprintf (a.address, sizeof a.address, STR_FMT, STR_ARG (m->address));
-  else if (status == CELL_NOT_LEADER)
+  if (status == CELL_NOT_LEADER
+      && (m == NULL || m->id == raft_id (c->raft)
+          || !str_copy (a.address, sizeof a.address, m->address)))
     a.status = CELL_UNAVAILABLE;
   if (status == CELL_OK)
     a.document = buf_str (&c->document);
--- a/lib/cell/takeovers.c
+++ b/lib/cell/takeovers.c
@@ -11,7 +11,7 @@
 
   if (t)
     return t;
-  if (c->ntakeover == SERVICES_MAX || service.n >= FLEET_NAME_SIZE)
+  if (c->ntakeover == SERVICES_MAX || service.n >= NAME_SIZE)
     {
       log_event (EV_SERVICES_FULL, "service=" STR_FMT " services=%d",
                  STR_ARG (service), SERVICES_MAX);
--- a/lib/cell/update.c
+++ b/lib/cell/update.c
@@ -32,8 +32,11 @@
   if (i == PEERS_MAX)
     return;
   if (i == c->npeer_entries)
-    snprintf (c->peer_entries[c->npeer_entries++].name,
-              sizeof c->peer_entries[i].name, STR_FMT, STR_ARG (m->from));
+    {
+      if (!str_copy (c->peer_entries[i].name, NAME_SIZE, m->from))
+        return;
+      c->npeer_entries++;
+    }
   c->peer_entries[i].entries = m->entries;
   c->peer_entries[i].at = c->now;
 }
--- a/lib/fleet/roster.c
+++ b/lib/fleet/roster.c
@@ -59,7 +59,8 @@
     }
   server_t *s = &r->at[r->n++];
   *s = (server_t){ .incarnation = -1, .seq = -1 };
-  snprintf (s->id, sizeof s->id, STR_FMT, STR_ARG (id));
+  if (!str_copy (s->id, sizeof s->id, id))
+    abort (); /* it was checked */
   if (2 * (r->n + 1) > r->nindex)
     build_index (r);
   else
@@ -106,10 +107,7 @@
 static bool
 replace_text (char *to, str_t from)
 {
-  if (str_eq (str_of (to), from))
-    return false;
-  snprintf (to, FLEET_NAME_SIZE, STR_FMT, STR_ARG (from));
-  return true;
+  return !str_eq (str_of (to), from) && str_copy (to, NAME_SIZE, from);
 }
 
 static bool
--- a/lib/fleet/takeover.c
+++ b/lib/fleet/takeover.c
@@ -1,6 +1,6 @@
 #include "fleet.h"
 
-#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 void
@@ -17,7 +17,8 @@
                      .paused = true,
                      .resume_at = now + RESUME_DELAY,
                      .hold_until = now + TAKEOVER_HOLD_OFF };
-  snprintf (t->service, sizeof t->service, STR_FMT, STR_ARG (service));
+  if (!str_copy (t->service, sizeof t->service, service))
+    abort (); /* the roster's check bounds it */
 }
 
 static void
@@ -61,11 +62,10 @@
         t->survey[i].pos = pos;
         return;
       }
-  if (t->nsurvey == SURVEY_MAX)
+  if (t->nsurvey == SURVEY_MAX
+      || !str_copy (t->survey[t->nsurvey].id, NAME_SIZE, id))
     return;
-  survey_t *s = &t->survey[t->nsurvey++];
-  snprintf (s->id, sizeof s->id, STR_FMT, STR_ARG (id));
-  s->pos = pos;
+  t->survey[t->nsurvey++].pos = pos;
 }
 
 void
@@ -150,7 +150,7 @@
   t->no_primary_since = -1;
   if (strcmp (p->id, t->primary) == 0)
     return;
-  snprintf (t->primary, sizeof t->primary, "%s", p->id);
+  memcpy (t->primary, p->id, sizeof t->primary);
   t->probe_ok_at = t->fail_since = t->reported_ok_at = -1;
   t->refused = false;
 }
@@ -194,8 +194,8 @@
 
   if (kind == TAKEOVER_NONE)
     return a;
-  snprintf (a.service, sizeof a.service, "%s", t->service);
-  snprintf (a.id, sizeof a.id, "%s", t->chosen);
+  memcpy (a.service, t->service, sizeof a.service);
+  memcpy (a.id, t->chosen, sizeof a.id);
   return a;
 }
 
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -32,18 +32,15 @@
 req_new (httpd_t *h, struct MHD_Connection *c, const char *method,
          const char *path)
 {
-  httpd_req_t *r = calloc (1, sizeof *r);
+  size_t nmethod = strlen (method) + 1, npath = strlen (path) + 1;
+  httpd_req_t *r = calloc (1, sizeof *r + nmethod + npath);
 
   if (r == NULL)
     return NULL;
   r->server = h;
   r->conn = c;
-  int n = snprintf (r->line, sizeof r->line, "%s", method);
-  n = n < 32 ? n : 31;
-  r->line[n] = '\0';
-  r->method = r->line;
-  snprintf (r->line + n + 1, sizeof r->line - (size_t)n - 1, "%s", path);
-  r->path = r->line + n + 1;
+  r->method = memcpy (r->line, method, nmethod);
+  r->path = memcpy (r->line + nmethod, path, npath);
   buf_init (&r->body);
   buf_init (&r->reply);
   return r;
--- a/lib/proxy/attempt.c
+++ b/lib/proxy/attempt.c
@@ -1,7 +1,7 @@
 #include "local.h"
 
-#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Attempts to run a statement, and the queue of those that no database can run
    yet.  place.c chooses the database.  */
@@ -154,7 +154,7 @@
   statement_dequeue (s);
   if (r->attempts++ == 0)
     metrics_started (s);
-  snprintf (r->last_db, sizeof r->last_db, "%s", d->id);
+  memcpy (r->last_db, d->id, sizeof r->last_db);
   r->attempt_end = r->read_only && s->tx == TX_NONE
                        ? p->now + read_timeout (d, left)
                        : r->deadline;
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -4,30 +4,33 @@
 #include <stdlib.h>
 #include <string.h>
 
+static service_t *
+service_find (const proxy_t *p, str_t name)
+{
+  return apr_hash_get (p->service_by_name, name.p, (apr_ssize_t)name.n);
+}
+
 service_t *
 service_get (proxy_t *p, str_t name)
 {
-  service_t *s;
+  service_t *s = service_find (p, name);
 
-  if (name.n >= NAME_LEN)
-    name.n = NAME_LEN - 1;
-  s = apr_hash_get (p->service_by_name, name.p, (apr_ssize_t)name.n);
   if (s)
     return s;
   s = apr_pcalloc (p->pool, sizeof *s);
   s->proxy = p;
-  snprintf (s->name, sizeof s->name, STR_FMT, STR_ARG (name));
+  s->name = str_dup (p->pool, name);
   s->connections = 8;
   s->next = p->services;
   p->services = s;
-  apr_hash_set (p->service_by_name, s->name, (apr_ssize_t)strlen (s->name), s);
+  apr_hash_set (p->service_by_name, s->name.p, (apr_ssize_t)name.n, s);
   return s;
 }
 
 const route_entry_t *
-route_find (proxy_t *p, const char *host)
+route_find (proxy_t *p, str_t host)
 {
-  return p->routes ? apr_hash_get (p->routes, host, APR_HASH_KEY_STRING)
+  return p->routes ? apr_hash_get (p->routes, host.p, (apr_ssize_t)host.n)
                    : NULL;
 }
 
@@ -79,8 +82,8 @@
   s->no_leader_since = 0;
   if (s->leader == d)
     return;
-  log_event (EV_LEADER, "service=%s database=%s before=%s", s->name, d->id,
-             s->leader ? s->leader->id : "-");
+  log_event (EV_LEADER, "service=" STR_FMT " database=%s before=%s",
+             STR_ARG (s->name), d->id, s->leader ? s->leader->id : "-");
   s->leader = d;
 }
 
@@ -126,6 +129,7 @@
   return NULL;
 }
 
+/* ID was checked.  */
 static db_t *
 db_new (service_t *s, str_t id)
 {
@@ -135,7 +139,8 @@
     abort ();
   d->service = s;
   d->ok_at = d->fail_at = -1;
-  snprintf (d->id, sizeof d->id, STR_FMT, STR_ARG (id));
+  if (!str_copy (d->id, sizeof d->id, id))
+    abort ();
   d->next = s->dbs;
   s->dbs = d;
   return d;
@@ -163,19 +168,18 @@
   err_t e = { 0 };
   char line[256];
 
-  if (!b->gone && !backend_check (b, &e))
+  if (!backend_check (b, &e))
     {
       err_line (&e, line, sizeof line);
       log_event (EV_DATABASE_REFUSED, "database=" STR_FMT " cause=%s",
                  STR_ARG (b->id), line);
       return;
     }
-  service_t *s = service_get (p, b->service);
-  db_t *d = db_find (s, b->id);
+  service_t *s
+      = b->gone ? service_find (p, b->service) : service_get (p, b->service);
+  db_t *d = s ? db_find (s, b->id) : NULL;
 
-  if (d && b->born < d->born)
-    return;
-  if (d == NULL && b->gone)
+  if (d ? b->born < d->born : b->gone)
     return;
   if (d == NULL)
     d = db_new (s, b->id);
@@ -183,15 +187,18 @@
     db_restarted (p, d, b);
   if (b->seq < d->seq)
     return;
-  snprintf (d->address, sizeof d->address, STR_FMT, STR_ARG (b->address));
-  snprintf (d->zone, sizeof d->zone, STR_FMT, STR_ARG (b->zone));
-  d->slots = (int)b->slots;
+  if (!b->gone)
+    {
+      str_copy (d->address, sizeof d->address, b->address);
+      str_copy (d->zone, sizeof d->zone, b->zone);
+      d->slots = (int)b->slots;
+    }
   if (d->leaving != b->leaving || d->gone != b->gone
       || d->primary != b->primary || d->seq < 0)
     log_event (EV_DATABASE,
-               "database=%s service=%s primary=%d leaving=%d gone=%d seq=%lld "
-               "age=%lld",
-               d->id, s->name, b->primary, b->leaving, b->gone,
+               "database=%s service=" STR_FMT " primary=%d leaving=%d gone=%d "
+               "seq=%lld age=%lld",
+               d->id, STR_ARG (s->name), b->primary, b->leaving, b->gone,
                (long long)b->seq, (long long)b->age);
   if (b->primary && !d->primary && !b->leaving)
     {
@@ -246,8 +253,9 @@
     for (db_t *d = s->dbs; d; d = d->next)
       if (!d->gone && !apr_hash_get (listed, d->id, APR_HASH_KEY_STRING))
         {
-          log_event (EV_DATABASE, "database=%s service=%s gone=1 named=0",
-                     d->id, s->name);
+          log_event (EV_DATABASE,
+                     "database=%s service=" STR_FMT " gone=1 named=0", d->id,
+                     STR_ARG (s->name));
           d->gone = true;
           links_close_idle (p, d);
         }
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -55,8 +55,7 @@
   for (size_t i = 0; i < p->nendpoint; i++)
     address[i] = str_of (p->endpoint[i].address);
   int k = owners_count (v->connections, p->entries, (int)p->nendpoint);
-  v->nowner = owners_pick (str_of (v->name), address, (int)p->nendpoint, k,
-                           v->owner);
+  v->nowner = owners_pick (v->name, address, (int)p->nendpoint, k, v->owner);
   v->owners_version = p->endpoints_version;
   v->is_owner = false;
   for (int i = 0; i < v->nowner; i++)
@@ -145,20 +144,38 @@
   p->endpoints_version++;
 }
 
+/* Only an address; another text would be sent no statements for long.  */
+static bool
+endpoint_usable (str_t address)
+{
+  err_t e = { 0 };
+  char line[256];
+
+  if (address_check (address, "endpoint", &e))
+    return true;
+  err_line (&e, line, sizeof line);
+  log_event (EV_ENDPOINT_REFUSED, "cause=%s", line);
+  return false;
+}
+
 static void
 endpoints_set (proxy_t *p, const list_t *list)
 {
   endpoint_entry_t *v = endpoints_new (list->n);
+  size_t n = 0;
 
   for (size_t i = 0; i < list->n; i++)
     {
       str_t a = LIST_AT (*list, endpoint_t, i)->address;
       int at = endpoint_index (p, a);
-      snprintf (v[i].address, sizeof v[i].address, STR_FMT, STR_ARG (a));
+      if (!endpoint_usable (a))
+        continue;
+      str_copy (v[n].address, sizeof v->address, a);
       if (at >= 0)
-        v[i].avoid_until = p->endpoint[at].avoid_until;
+        v[n].avoid_until = p->endpoint[at].avoid_until;
+      n++;
     }
-  endpoints_replace (p, v, list->n);
+  endpoints_replace (p, v, n);
 }
 
 static void
@@ -174,14 +191,13 @@
     {
       const endpoint_t *x = LIST_AT (*list, endpoint_t, i);
       int at = endpoint_index (p, x->address);
-      if (x->gone == (at < 0))
+      if (x->gone == (at < 0) || !endpoint_usable (x->address))
         continue;
       changed = true;
       if (x->gone)
         v[at].address[0] = '\0';
       else
-        snprintf (v[n++].address, sizeof v->address, STR_FMT,
-                  STR_ARG (x->address));
+        str_copy (v[n++].address, sizeof v->address, x->address);
     }
   if (!changed)
     {
@@ -249,7 +265,7 @@
 
   snprintf (pos, sizeof pos, "%lld.%lld", (long long)s->last_write.term,
             (long long)s->last_write.number);
-  c->startup (out, str_of (s->host), str_of (pos), (str_t){ 0 });
+  c->startup (out, s->host, str_of (pos), (str_t){ 0 });
   for (int i = 0; i < s->values.n; i++)
     {
       op.name = s->values.at[i].name;
@@ -289,7 +305,7 @@
       free (f);
       return false;
     }
-  snprintf (f->address, sizeof f->address, "%s", x->address);
+  memcpy (f->address, x->address, sizeof f->address);
   f->timeout = r->timeout;
   send_state (s, f);
   s->forward = f;
@@ -385,8 +401,9 @@
   size_t used;
 
   buf_init (&f->text);
-  log_event (EV_FORWARD_LOST, "instance=%s host=%s cause=%s active=%d ms=%lld",
-             f->address, s->host, cause, active,
+  log_event (EV_FORWARD_LOST,
+             "instance=%s host=" STR_FMT " cause=%s active=%d ms=%lld",
+             f->address, STR_ARG (s->host), cause, active,
              active ? (long long)(p->now - f->sent) : 0LL);
   avoid_owner (p, f->address);
   if (p->now - p->watch.has_leader_at >= CONTROL_TIMEOUT / 2)
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -54,8 +54,8 @@
   d->opening++;
   counter_add (p->opened, 1);
   link_expect (k, STEP_START);
-  p->conf.db->startup (stream_out (k->stream), str_of (d->service->name),
-                       p->conf.name, str_of (d->id));
+  p->conf.db->startup (stream_out (k->stream), d->service->name, p->conf.name,
+                       str_of (d->id));
   wake_at (p, p->now + CONNECT_TIMEOUT);
   return true;
 }
@@ -134,9 +134,10 @@
   p->now = loop_now (p->loop);
   if (failed && !k->closing)
     {
-      log_event (EV_DB_LOST, "database=%s service=%s state=%s cause=%s", d->id,
-                 v->name, k->state == LINK_OPENING ? "opening" : "busy",
-                 err_name (e->code));
+      log_event (
+          EV_DB_LOST, "database=%s service=" STR_FMT " state=%s cause=%s",
+          d->id, STR_ARG (v->name),
+          k->state == LINK_OPENING ? "opening" : "busy", err_name (e->code));
       db_failed (p, d, p->now);
     }
   if (s && s->link == k)
@@ -226,8 +227,8 @@
 {
   db_t *d = k->db;
 
-  log_event (EV_DB_REFUSED, "database=%s service=%s cause=%s", d->id,
-             d->service->name, fail_name (k->fail));
+  log_event (EV_DB_REFUSED, "database=%s service=" STR_FMT " cause=%s", d->id,
+             STR_ARG (d->service->name), fail_name (k->fail));
   if (k->fail == FAIL_TOOMANY)
     {
       d->full_at = p->now;
@@ -316,8 +317,8 @@
 {
   session_t *s = k->session;
 
-  log_event (EV_DB_BROKEN, "database=%s service=%s", k->db->id,
-             k->db->service->name);
+  log_event (EV_DB_BROKEN, "database=%s service=" STR_FMT, k->db->id,
+             STR_ARG (k->db->service->name));
   link_close (p, k);
   if (s)
     statement_disconnected (s, NULL);
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -12,7 +12,6 @@
 /* Times are in ms.  */
 enum
 {
-  NAME_LEN = 64, /* bytes, for names of services, databases and zones */
   FRESH_KINDS = FRESH_SESSION + 1,
   CANDIDATES_MAX = 16, /* databases of a service that placement considers */
   SETTINGS_MAX = 40,   /* of one session */
@@ -153,9 +152,9 @@
 {
   db_t *next; /* in the service's list */
   service_t *service;
-  char id[NAME_LEN];
-  char address[NAME_LEN];
-  char zone[NAME_LEN];
+  char id[NAME_SIZE];
+  char address[NAME_SIZE];
+  char zone[NAME_SIZE];
   int64_t born; /* orders the starts of a database with the same id */
   int64_t seq;  /* of the last heartbeat of this start; -1: none */
   int slots;    /* statements that it runs concurrently; 0: unknown */
@@ -181,7 +180,7 @@
 {
   service_t *next;
   proxy_t *proxy;
-  char name[NAME_LEN];
+  str_t name;
   int connections;       /* limit of each database, all instances together */
   int sync_replicas;     /* that acknowledge each commit */
   int64_t setup_version; /* last configuration that contains it; 0: none */
@@ -208,7 +207,7 @@
 
 typedef struct
 {
-  char address[NAME_LEN];
+  char address[NAME_SIZE];
   msec_t avoid_until; /* gets no sessions before this time */
 } endpoint_entry_t;
 
@@ -216,7 +215,7 @@
 typedef struct
 {
   stream_t *stream;
-  char address[NAME_LEN];
+  char address[NAME_SIZE];
   bool up;     /* connected */
   int skip;    /* answers to the transferred session state, to be dropped */
   bool active; /* a statement awaits its answer */
@@ -248,7 +247,7 @@
   int ntried;
   fail_t last_fail; /* why the last attempt failed */
   int attempts;
-  char last_db[NAME_LEN]; /* database of the last attempt, for the log */
+  char last_db[NAME_SIZE]; /* database of the last attempt, for the log */
 } request_t;
 
 struct session
@@ -258,8 +257,9 @@
   session_t *next_waiting;
   proxy_t *proxy;
   stream_t *stream;
-  char host[NAME_LEN]; /* database name that the client asked for */
-  service_t *service;  /* of the current transaction */
+  str_t host; /* database name that the client asked for; empty before that;
+                 on the heap */
+  service_t *service; /* of the current transaction */
   tx_t tx;
   bool started;       /* its start-up message was accepted */
   bool from_peer;     /* the client is an instance that forwards to this one */
@@ -277,7 +277,6 @@
   pos_t last_write;     /* position of its last write */
   msec_t last_write_at; /* when it was acknowledged here; 0: elsewhere */
   route_entry_t route;
-  char route_service[NAME_LEN];
   request_t req;
 };
 
@@ -289,7 +288,7 @@
   str_t *address; /* control instances that control reported */
   size_t n;
   size_t at; /* next to try, among these and those of the settings */
-  char dialed[NAME_LEN]; /* address that STREAM was opened to */
+  char dialed[NAME_SIZE]; /* address that STREAM was opened to */
   apr_pool_t *pool;
   int64_t seq;      /* of the last report */
   int64_t boot;     /* identifies the start of the instance that numbered
@@ -381,7 +380,7 @@
 /* fleet.c */
 service_t *service_get (proxy_t *p, str_t name);
 void fleet_update (proxy_t *p, const watch_update_t *n);
-const route_entry_t *route_find (proxy_t *p, const char *host);
+const route_entry_t *route_find (proxy_t *p, str_t host);
 /* leader_pick: the database believed to be the primary, or NULL.  */
 db_t *leader_pick (service_t *s, msec_t now);
 void leader_confirmed (service_t *s, db_t *d);
--- a/lib/proxy/outcome.c
+++ b/lib/proxy/outcome.c
@@ -32,17 +32,18 @@
   msec_t sample_age
       = v && v->samples.n ? p->now - samples_newest (&v->samples) : -1;
 
-  log_event (EV_REQUEST_FAILED,
-             "request=" STR_FMT " host=%s service=%s outcome=%s ms=%lld "
-             "needs=%s attempts=%d last=%s database=%s leader=%s "
-             "leader_silent_ms=%lld mark_age=%lld cut_off=%d version=%lld",
-             STR_ARG (r->op.id), s->host, v ? v->name : "-", fail_name (f),
-             (long long)(p->now - r->arrived),
-             r->needs_leader ? "leader" : "position", r->attempts,
-             fail_name (r->last_fail), r->last_db[0] ? r->last_db : "-",
-             lead ? lead->id : "-", (long long)silent, (long long)sample_age,
-             p->cut_off_at >= 0,
-             p->setup ? (long long)p->setup->version : 0LL);
+  log_event (
+      EV_REQUEST_FAILED,
+      "request=" STR_FMT " host=" STR_FMT " service=" STR_FMT
+      " outcome=%s ms=%lld "
+      "needs=%s attempts=%d last=%s database=%s leader=%s "
+      "leader_silent_ms=%lld mark_age=%lld cut_off=%d version=%lld",
+      STR_ARG (r->op.id), STR_ARG (s->host), STR_ARG (v ? v->name : STR ("-")),
+      fail_name (f), (long long)(p->now - r->arrived),
+      r->needs_leader ? "leader" : "position", r->attempts,
+      fail_name (r->last_fail), r->last_db[0] ? r->last_db : "-",
+      lead ? lead->id : "-", (long long)silent, (long long)sample_age,
+      p->cut_off_at >= 0, p->setup ? (long long)p->setup->version : 0LL);
 }
 
 void
--- a/lib/proxy/pool.c
+++ b/lib/proxy/pool.c
@@ -81,8 +81,9 @@
         if (k->state == LINK_OPENING && now - k->since >= CONNECT_TIMEOUT)
           {
             log_event (EV_DB_LOST,
-                       "database=%s service=%s state=opening cause=timeout",
-                       d->id, s->name);
+                       "database=%s service=" STR_FMT
+                       " state=opening cause=timeout",
+                       d->id, STR_ARG (s->name));
             link_close (p, k);
             db_failed (p, d, now);
           }
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -1,6 +1,5 @@
 #include "local.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -52,6 +51,7 @@
   values_free (&s->values);
   values_free (&s->prepared);
   buf_free (&s->req.text);
+  free (s->host.p);
   free (s);
 }
 
@@ -112,16 +112,9 @@
 
   if (r == NULL)
     return false;
-  if (s->service && strcmp (s->route_service, s->service->name) == 0
-      && str_eq (r->service, str_of (s->route_service)))
-    s->route = *r;
-  else
-    {
-      s->route = *r;
-      s->service = service_get (p, r->service);
-      snprintf (s->route_service, sizeof s->route_service, "%s",
-                s->service->name);
-    }
+  if (s->service == NULL || !str_eq (s->service->name, r->service))
+    s->service = service_get (p, r->service);
+  s->route = *r;
   /* These point into a configuration that may be replaced.  */
   s->route.host = s->route.service = (str_t){ 0 };
   return true;
@@ -129,11 +122,11 @@
 
 /* False when the session is closed.  */
 static bool
-refuse_no_database (session_t *s)
+refuse_no_database (session_t *s, str_t host)
 {
-  log_event (EV_NO_DATABASE, "host=%s version=%lld", s->host,
+  log_event (EV_NO_DATABASE, "host=" STR_FMT " version=%lld", STR_ARG (host),
              s->proxy->setup ? (long long)s->proxy->setup->version : 0LL);
-  s->proxy->conf.client->error (out (s), FAIL_NODB, str_of (s->host));
+  s->proxy->conf.client->error (out (s), FAIL_NODB, host);
   session_end (s);
   return false;
 }
@@ -155,11 +148,14 @@
 static bool
 startup (session_t *s, str_t host, str_t client)
 {
-  if (host.n >= sizeof s->host)
-    host.n = sizeof s->host - 1;
-  snprintf (s->host, sizeof s->host, STR_FMT, STR_ARG (host));
-  if (!use_route (s))
-    return refuse_no_database (s);
+  /* Only the name of a known database is kept.  */
+  if (route_find (s->proxy, host) == NULL)
+    return refuse_no_database (s, host);
+  s->host = (str_t){ malloc (host.n), host.n };
+  if (s->host.p == NULL)
+    abort ();
+  memcpy (s->host.p, host.p, host.n);
+  use_route (s);
   if (s->from_peer && s->proxy->cut_off_at >= 0)
     {
       session_refuse (s, FAIL_BUSY, STR ("cut off"));
@@ -201,7 +197,7 @@
       return true;
     }
   if (!use_route (s))
-    return refuse_no_database (s);
+    return refuse_no_database (s, s->host);
   session_tx_end (s);
   s->tx = TX_OPEN;
   s->tx_read = op->kind == OP_BEGIN_READ;
@@ -311,7 +307,7 @@
       return true;
     }
   if (s->tx == TX_NONE && !use_route (s))
-    return refuse_no_database (s);
+    return refuse_no_database (s, s->host);
   statement_start (s, op);
   return true;
 }
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -295,9 +295,10 @@
       return;
     }
   db_t *d = k->db;
-  log_event (
-      EV_DB_SILENT, "request=" STR_FMT " database=%s service=%s ms=%lld",
-      STR_ARG (r->op.id), d->id, s->service->name, (long long)(now - k->sent));
+  log_event (EV_DB_SILENT,
+             "request=" STR_FMT " database=%s service=" STR_FMT " ms=%lld",
+             STR_ARG (r->op.id), d->id, STR_ARG (s->service->name),
+             (long long)(now - k->sent));
   msec_t sent = k->sent;
   link_close (p, k);
   s->link = NULL;
--- a/lib/proxy/sweep.c
+++ b/lib/proxy/sweep.c
@@ -44,7 +44,7 @@
 
   if (!idle_too_long (s, now))
     return;
-  log_event (EV_TX_IDLE, "host=%s ms=%lld", s->host,
+  log_event (EV_TX_IDLE, "host=" STR_FMT " ms=%lld", STR_ARG (s->host),
              (long long)(now - s->last_active));
   s->tx_lost = true;
   link_release (s->proxy, k);
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -106,7 +106,7 @@
     for (db_t *d = s->dbs; d && n < 64; d = d->next)
       if ((d == s->leader || d->primary) && (d->ok_at >= 0 || d->fail_at >= 0))
         v[n++] = (reachability_t){
-          .service = str_of (s->name),
+          .service = s->name,
           .id = str_of (d->id),
           .ok_age = d->ok_at < 0 ? -1 : p->now - d->ok_at,
           .fail_age = d->fail_at < 0 ? -1 : p->now - d->fail_at,
@@ -274,7 +274,8 @@
   size_t i = w->at % all;
   address = i < w->n ? w->address[i] : p->conf.control[i - w->n];
   w->sent_at = p->now;
-  snprintf (w->dialed, sizeof w->dialed, STR_FMT, STR_ARG (address));
+  if (!str_copy (w->dialed, sizeof w->dialed, address))
+    w->dialed[0] = '\0'; /* stream_dial refuses it */
   w->stream = stream_dial (p->loop, address, ACK_TIMEOUT, &watch_ops, p, &e);
   if (w->stream == NULL)
     control_lost (p, err_name (e.code));
--- a/lib/rpc/check.c
+++ b/lib/rpc/check.c
@@ -6,7 +6,6 @@
 
 enum
 {
-  NAME_MAX_BYTES = 63,
   SLOTS_MAX = 100000,            /* statements at a time */
   CONNECTIONS_MAX = 1000000,     /* to one database */
   TIMEOUT_MAX = 24 * 3600 * 1000 /* ms */
@@ -43,8 +42,16 @@
   return inet_pton (AF_INET, host, &in) == 1;
 }
 
-static bool
-check_name (str_t s, const char *field, err_t *e)
+bool
+address_check (str_t s, const char *field, err_t *e)
+{
+  return is_address (s)
+         || err_set (e, ERR_RANGE, field,
+                     "IP-NUMBER:PORT with a port from 1 to 65535 is required");
+}
+
+bool
+name_check (str_t s, const char *field, err_t *e)
 {
   return is_name (s)
          || err_set (e, ERR_RANGE, field,
@@ -64,18 +71,15 @@
 bool
 backend_check (const backend_t *b, err_t *e)
 {
-  if (!check_name (b->id, "id", e)
+  if (!name_check (b->id, "id", e)
       || !check_int (b->age, 0, INT32_MAX, "age", e))
     return false;
   if (b->gone)
     return check_int (b->born, -1, BORN_MAX, "born", e)
            && check_int (b->seq, -1, SEQ_MAX, "seq", e);
-  return check_name (b->service, "service", e)
-         && (is_address (b->address)
-             || err_set (e, ERR_RANGE, "address",
-                         "IP-NUMBER:PORT with a port from 1 to 65535 is "
-                         "required"))
-         && (b->zone.n == 0 || check_name (b->zone, "zone", e))
+  return name_check (b->service, "service", e)
+         && address_check (b->address, "address", e)
+         && (b->zone.n == 0 || name_check (b->zone, "zone", e))
          && check_int (b->born, 0, BORN_MAX, "born", e)
          && check_int (b->seq, 0, SEQ_MAX, "seq", e)
          && check_int (b->slots, 0, SLOTS_MAX, "slots", e);
--- a/test/stage.c
+++ b/test/stage.c
@@ -2,6 +2,7 @@
 
 #include <apr_general.h>
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -379,16 +380,21 @@
 static void
 put_setup (stage_t *s, buf_t *out)
 {
-  route_entry_t r[4] = {
+  route_entry_t r[5] = {
     { STR ("lead"), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 1 },
     { STR ("near"), STR ("svc"), FRESH_BOUNDED, 1500, s->timeout, 200, 2 },
     { STR ("own"), STR ("svc"), FRESH_SESSION, 2500, s->timeout, 200, 2 },
     { STR ("new"), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 2 },
   };
+  size_t n = s->extra_route ? 4 : 3;
+  if (s->extra_host)
+    r[n++] = (route_entry_t){
+      str_of (s->extra_host), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 2
+    };
   service_entry_t v = { STR ("svc"), s->connections, s->sync_replicas };
   setup_t m = { .version = s->version,
                 .tx_idle = s->tx_idle,
-                .routes = { r, s->extra_route ? 4 : 3 },
+                .routes = { r, n },
                 .services = { &v, 1 } };
 
   rpc_pack (out, MSG_SETUP, &m);
@@ -579,7 +585,7 @@
 stage_session_at (stage_t *s, bool second, const char *host)
 {
   stage_client_t *c = client_at (s, second ? s->second_port : s->port);
-  char text[64];
+  char text[1024];
 
   snprintf (text, sizeof text, "STARTUP %s u1\r\n", host);
   ck_assert_msg (stage_request (c, text, "READY I -\r\n"), "got: %s",
@@ -651,11 +657,8 @@
 
   for (int i = 0; i < 2; i++)
     ctl[i] = str_of (s->control_address[i]);
-  free_address (own, sizeof own);
-  *port = port_of (own);
   proxy_conf_t c = { .name = str_of (name),
                      .zone = STR ("z1"),
-                     .listen = str_dup (s->pool, str_of (own)),
                      .peers = str_of (endpoint),
                      .peers_listen = str_of (endpoint),
                      .control = ctl,
@@ -664,7 +667,16 @@
                      .startup_timeout = 700,
                      .client = &pf_client,
                      .db = &pf_db };
-  proxy_t *p = proxy_new (s->pool, s->loop, &c, &e);
+  proxy_t *p = NULL;
+  /* Another process may take the address before it is bound.  */
+  for (int i = 0; p == NULL && i < 5; i++)
+    {
+      free_address (own, sizeof own);
+      *port = port_of (own);
+      c.listen = str_dup (s->pool, str_of (own));
+      p = proxy_new (s->pool, s->loop, &c, &e);
+      ck_assert_msg (p || e.sys == EADDRINUSE, "%s: %s", e.subject, e.detail);
+    }
   ck_assert (p);
   return p;
 }
--- a/test/stage.h
+++ b/test/stage.h
@@ -76,6 +76,7 @@
   int64_t tx_idle;         /* ms */
   int64_t timeout;         /* of statements, ms */
   bool extra_route;
+  const char *extra_host; /* of another route, or NULL */
   msec_t until;
   bool (*done) (void *arg);
   void *arg;
--- a/test/test_base.c
+++ b/test/test_base.c
@@ -22,6 +22,22 @@
   apr_pool_destroy (pool);
 }
 
+/* Guards against a name that is shortened to a fixed field and so becomes
+   another one.  */
+START_TEST (copy_is_whole_or_refused)
+{
+  char to[4] = "old";
+
+  ck_assert (!str_copy (to, sizeof to, STR ("four")));
+  ck_assert (!str_copy (to, sizeof to, STR ("a\0b")));
+  ck_assert_str_eq (to, "old");
+  ck_assert (str_copy (to, sizeof to, STR ("abc")));
+  ck_assert_str_eq (to, "abc");
+  ck_assert (str_copy (to, sizeof to, (str_t){ 0 }));
+  ck_assert_str_eq (to, "");
+}
+END_TEST
+
 /* Guards against accepting numbers with trailing characters.  */
 START_TEST (int_parsing)
 {
@@ -189,6 +205,7 @@
   SRunner *r = srunner_create (s);
 
   tcase_add_checked_fixture (t, setup, teardown);
+  tcase_add_test (t, copy_is_whole_or_refused);
   tcase_add_test (t, int_parsing);
   tcase_add_test (t, format);
   tcase_add_test (t, ring_refuses_when_full);
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -241,6 +241,31 @@
 }
 END_TEST
 
+/* Guards against a name that is shortened on its way, and so becomes that of
+   another database or service: it is kept whole or refused.  */
+START_TEST (long_names_are_kept_whole_or_refused)
+{
+  roster_table_t r = { 0 };
+  char id[NAME_MAX_BYTES + 2], service[NAME_MAX_BYTES + 2];
+  backend_t b = heartbeat ("a", "127.0.0.1:1", 10, 1);
+  err_t e = { 0 };
+
+  snprintf (id, sizeof id, "%0*d", NAME_MAX_BYTES, 1);
+  snprintf (service, sizeof service, "%0*d", NAME_MAX_BYTES, 2);
+  b.id = str_of (id);
+  b.service = str_of (service);
+  ck_assert (roster_heartbeat (&r, &b, 100, &e));
+  ck_assert_str_eq (roster_find (&r, b.id)->id, id);
+  ck_assert_str_eq (roster_find (&r, b.id)->service, service);
+  snprintf (id, sizeof id, "%0*d", NAME_MAX_BYTES + 1, 1);
+  b.id = str_of (id);
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  ck_assert_int_eq (e.code, ERR_RANGE);
+  ck_assert_uint_eq (r.n, 1);
+  roster_free (&r);
+}
+END_TEST
+
 /* Guards against an odd entry under the id of a live database: a sequence
    number far ahead made each heartbeat of the database count as late.  */
 START_TEST (odd_sequence_number_keeps_the_database)
@@ -699,6 +724,7 @@
   tcase_add_test (t, unusable_heartbeat_is_refused);
   tcase_add_test (t, late_heartbeat_does_not_take_the_address_back);
   tcase_add_test (t, odd_entries_are_refused);
+  tcase_add_test (t, long_names_are_kept_whole_or_refused);
   tcase_add_test (t, odd_sequence_number_keeps_the_database);
   tcase_add_test (t, roster_finds_each_of_many);
   tcase_add_test (t, numbers_of_a_configuration_are_limited);
--- a/test/test_httpd.c
+++ b/test/test_httpd.c
@@ -18,6 +18,7 @@
   unsigned status;
   bool done;
   char body[64];
+  size_t npath; /* bytes of the last path */
   msec_t until; /* end of the loop without a result */
 } fixture_t;
 
@@ -54,6 +55,7 @@
   (void)events;
   while ((r = ring_get (w->in, 0)) != NULL)
     {
+      w->npath = strlen (r->path);
       snprintf (w->body, sizeof w->body, "%s " STR_FMT, r->method,
                 STR_ARG (buf_str (&r->body)));
       httpd_respond (r, 202, STR ("text/plain"), (str_t){ 0 }, STR ("ok"));
@@ -99,6 +101,7 @@
    and against reporting a status for a call without a response.  */
 START_TEST (calls_are_answered)
 {
+  char path[600];
   fixture_t w = { 0 };
   apr_pool_t *pool;
   char address[32], unused[32];
@@ -116,6 +119,10 @@
   ck_assert_uint_eq (post (&w, address, "/slow"), 202);
   ck_assert_str_eq (w.body, "POST hello");
   ck_assert_uint_eq (post (&w, address, "/quick"), 409);
+  /* A path that is cut names another database.  */
+  snprintf (path, sizeof path, "/%0500d", 1);
+  ck_assert_uint_eq (post (&w, address, path), 202);
+  ck_assert_uint_eq (w.npath, 501);
   free_address (unused, sizeof unused);
   ck_assert_uint_eq (post (&w, unused, "/quick"), 0);
 }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -70,6 +70,27 @@
 }
 END_TEST
 
+/* Guards against a valid configuration that is refused because two of its
+   hosts agree in their first 1,023 bytes.  */
+START_TEST (long_hosts_are_not_duplicates)
+{
+  char body[8192], host[2][2000];
+  errcode_t code;
+
+  for (int same = 0; same < 2; same++)
+    {
+      snprintf (host[0], sizeof host[0], "%01998d", 1);
+      snprintf (host[1], sizeof host[1], "%01998d", same ? 1 : 2);
+      snprintf (body, sizeof body,
+                "{\"version\":3," SERVICES
+                ",\"routes\":[" ROUTE ("%s", GOOD) "," ROUTE ("%s", GOOD) "]}",
+                host[0], host[1]);
+      ck_assert_int_eq (parse_config (body, &code), !same);
+    }
+  ck_assert_int_eq (code, ERR_DUPLICATE_KEY);
+}
+END_TEST
+
 static bool
 parse_heartbeat (const char *body, backend_t *b)
 {
@@ -252,6 +273,7 @@
   apr_initialize ();
   apr_pool_create (&pool, NULL);
   tcase_add_test (t, invalid_configurations_are_refused);
+  tcase_add_test (t, long_hosts_are_not_duplicates);
   tcase_add_test (t, invalid_heartbeats_are_refused);
   tcase_add_test (t, statements_are_forwarded_unchanged);
   tcase_add_test (t, reserved_words_are_refused);
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -700,6 +700,45 @@
 }
 END_TEST
 
+/* Guards against a client that is served by the service of another host: hosts
+   were cut to 63 bytes before the look-up (review/3).  */
+START_TEST (long_host_is_no_other_host)
+{
+  stage_t *s = stage_new (true);
+  char host[300], text[400];
+
+  snprintf (host, sizeof host, "%062d1", 0);
+  s->extra_host = host;
+  s->version = 2;
+  stage_run (s, 700, NULL, NULL);
+  snprintf (text, sizeof text, "STARTUP %s0 u1\r\n", host);
+  ASK (stage_client (s), text, "ERROR NODB");
+  ASK (stage_session (s, host), "QUERY r1 READ 7\r\n", "COMPLETE sig-db0");
+  snprintf (host, sizeof host, "%0299d", 1);
+  s->version = 3;
+  stage_run (s, 700, NULL, NULL);
+  ASK (stage_session (s, host), "QUERY r2 READ 7\r\n", "COMPLETE sig-db0");
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against two services with long names that count as one: names were
+   cut to 63 bytes.  */
+START_TEST (long_service_is_no_other_service)
+{
+  stage_t *s = stage_new (false);
+  char a[600], b[600];
+
+  snprintf (a, sizeof a, "%0500d1", 0);
+  snprintf (b, sizeof b, "%0500d2", 0);
+  ck_assert_ptr_ne (service_get (s->proxy, str_of (a)),
+                    service_get (s->proxy, str_of (b)));
+  ck_assert_ptr_eq (service_get (s->proxy, str_of (a)),
+                    service_get (s->proxy, str_of (a)));
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a number of entry instances that falls while the control
    instances are starting: owners of connections then seemed not to be needed,
    and every instance opened its own.  Found by scale-1 of the grown Bureau. */
@@ -858,6 +897,8 @@
   tcase_add_test (t, many_settings_are_refused);
   tcase_add_test (t, starting_control_does_not_shrink_the_fleet);
   tcase_add_test (t, dead_control_instance_is_passed_over_soon);
+  tcase_add_test (t, long_host_is_no_other_host);
+  tcase_add_test (t, long_service_is_no_other_service);
   tcase_add_test (t, prepared_shape_may_have_several_words);
   tcase_add_test (t, prepared_name_and_shape_may_be_long);
   tcase_add_test (t, large_session_state_is_refused);
