proxy: everything accepted in a planned stop is answered

Clients whose transaction was still open 3 to 5.6 s after the SIGTERM of their entry instance had statements passed on to a database and the connection ended without an answer (LOST); so did clients that never pause.

Cause: the process left 400 ms before the end of the grace period whatever was in progress, and accepted statements up to that moment.

A session is closed in the turn of its answer. An owner leaves forwarded sessions open until it refuses.

With the refusals, the last answers and the close in the turn taken out, the four new tests of test_proxy fail. stop_lets_open_transaction_finish waits for the close as well, since the proxy's loop now ends with the answer.

--- a/include/loop.h
+++ b/include/loop.h
@@ -62,6 +62,8 @@
 buf_t *stream_out (stream_t *s);
 /* stream_flush: sends the buffer at the end of the turn.  */
 void stream_flush (stream_t *s);
+/* stream_flush_now: sends it at once; whether the socket accepted all.  */
+bool stream_flush_now (stream_t *s);
 /* stream_connected: the connection is established and not closed.  */
 bool stream_connected (const stream_t *s);
 /* stream_input_empty: no received bytes are unread, neither in the buffer nor
--- a/lib/loop/stream.c
+++ b/lib/loop/stream.c
@@ -206,6 +206,14 @@
   s->loop->to_flush = s;
 }
 
+bool
+stream_flush_now (stream_t *s)
+{
+  return s->connected && !s->closed
+         && (buf_len (&s->out) == 0
+             || rpc_write (s->watch.fd, &s->out, NULL) == 0);
+}
+
 bool
 stream_connected (const stream_t *s)
 {
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -332,6 +332,13 @@
   forward_free (s);
 }
 
+static bool
+op_writes (session_t *s, const op_t *op)
+{
+  return op->kind == OP_WRITE
+         || (op->kind == OP_EXECUTE && session_executes_write (s, op));
+}
+
 bool
 forward_op (session_t *s, const op_t *op, str_t raw)
 {
@@ -348,9 +355,7 @@
   buf_adds (&f->text, raw);
   buf_adds (stream_out (f->stream), raw);
   stream_flush (f->stream);
-  if (s->tx == TX_OPEN
-      && (op->kind == OP_WRITE
-          || (op->kind == OP_EXECUTE && session_executes_write (s, op))))
+  if (s->tx == TX_OPEN && op_writes (s, op))
     s->tx_wrote = true;
   s->last_active = p->now;
   wake_at (p, p->now + (f->up ? f->timeout + ANSWER_SLACK : DIAL_TIMEOUT));
@@ -362,10 +367,7 @@
 static void
 fail_lost_answer (session_t *s, const op_t *op)
 {
-  bool writes = op->kind == OP_WRITE
-                || (op->kind == OP_EXECUTE && session_executes_write (s, op));
-
-  if ((s->tx == TX_NONE && writes)
+  if ((s->tx == TX_NONE && op_writes (s, op))
       || (op->kind == OP_COMMIT && s->tx == TX_OPEN && s->tx_wrote))
     {
       session_tx_end (s);
@@ -417,10 +419,7 @@
     }
   if (p->conf.client->decode (buf_str (&text), &used, &m) <= 0)
     abort (); /* it was decoded when it was sent */
-  bool writes
-      = m.op.kind == OP_WRITE
-        || (m.op.kind == OP_EXECUTE && session_executes_write (s, &m.op));
-  if (s->tx == TX_NONE && (!up || !writes))
+  if (s->tx == TX_NONE && (!up || !op_writes (s, &m.op)))
     session_run_here (s, &m);
   else if (s->tx == TX_FAILED)
     session_run_here (s, &m);
@@ -432,6 +431,25 @@
   buf_free (&text);
 }
 
+void
+forward_give_up (session_t *s)
+{
+  forward_t *f = s->forward;
+  buf_t text = f->text;
+  client_msg_t m;
+  size_t used;
+
+  buf_init (&f->text);
+  forward_end (s);
+  if (s->proxy->conf.client->decode (buf_str (&text), &used, &m) <= 0)
+    abort (); /* it was decoded when it was sent */
+  if (s->tx == TX_NONE && !op_writes (s, &m.op))
+    session_refuse (s, FAIL_BUSY, STR ("the instance is stopping"));
+  else
+    fail_lost_answer (s, &m.op);
+  buf_free (&text);
+}
+
 static void
 peer_open (void *arg)
 {
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -67,8 +67,10 @@
                           balancer needs two probes a second apart */
   CLOSE_BATCH = 12,    /* sessions closed in one batch while draining */
   CLOSE_INTERVAL = 25, /* between batches */
-  STOP_MARGIN = 400    /* sessions may stay until this time before the end of
-                          the grace period */
+  /* The process ends this long before the end of the grace period, */
+  STOP_MARGIN = 400,
+  /* and waits no longer for clients to take the last answers.  */
+  FLUSH_TIME = 200
 };
 
 typedef struct db db_t;
@@ -434,6 +436,8 @@
 /* statement.c */
 void statement_start (session_t *s, const op_t *op);
 void statement_expire (session_t *s, msec_t now);
+/* statement_give_up: answers a statement in progress without its result.  */
+void statement_give_up (session_t *s);
 /* statement_begun: BEGIN was answered.  statement_answer: the statement was
    answered.  statement_disconnected: the connection ended.  */
 void statement_begun (session_t *s, link_t *k, fail_t f, pos_t pos);
@@ -489,6 +493,8 @@
 bool forward_op (session_t *s, const op_t *op, str_t raw);
 void forward_expire (session_t *s, msec_t now);
 void forward_end (session_t *s);
+/* forward_give_up: the same for a forwarded statement.  */
+void forward_give_up (session_t *s);
 
 /* session.c */
 /* session_open: FROM_PEER: the client is an instance that forwards.  */
@@ -516,6 +522,28 @@
 /* session_tx_end: resets the state of the transaction.  */
 void session_tx_end (session_t *s);
 
+/* stop.c: a planned stop, from SIGTERM to the end of the process.  Everything
+   that is accepted is answered.  */
+typedef enum
+{
+  STOP_NONE,
+  STOP_ACCEPT, /* the load balancer still sends clients */
+  STOP_FINISH, /* sessions without a transaction are closed; open transactions
+                  go on, for the first half of the grace period */
+  STOP_REFUSE, /* statements are refused with a promise, except a COMMIT that
+                  can be answered in time */
+  STOP_LEAVE   /* what is in progress gets its last answer */
+} stop_phase_t;
+
+stop_phase_t stop_phase (const proxy_t *p, msec_t now);
+/* stop_refuses: whether OP can't be run any more.  stop_refuse: refuses it.  A
+   session without a transaction is then closed, unless its client does not
+   read; false when it was.  */
+bool stop_refuses (const session_t *s, const op_t *op);
+bool stop_refuse (session_t *s, const op_t *op);
+/* stop_turn: ends the loop when all sessions are closed, or it is time.  */
+void stop_turn (proxy_t *p, msec_t now);
+
 /* sweep.c */
 /* sessions_sweep: applies time limits, and closes sessions while draining.  */
 void sessions_sweep (proxy_t *p, msec_t now);
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -105,19 +105,6 @@
   log_event (EV_DRAIN_BEGIN, "sessions=%d", p->nsession);
 }
 
-static void
-stop_turn (proxy_t *p, msec_t now)
-{
-  msec_t age = now - p->stop_at;
-
-  if (age < DRAIN_DELAY)
-    return;
-  if (p->nsession && age < p->conf.grace - STOP_MARGIN)
-    return;
-  log_event (EV_DRAIN_END, "sessions=%d ms=%lld", p->nsession, (long long)age);
-  loop_stop (p->loop);
-}
-
 msec_t
 proxy_turn (void *arg, msec_t now)
 {
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -156,9 +156,12 @@
     abort ();
   memcpy (s->host.p, host.p, host.n);
   use_route (s);
-  if (s->from_peer && s->proxy->cut_off_at >= 0)
+  bool stopping = stop_phase (s->proxy, s->proxy->now) >= STOP_REFUSE;
+  if (stopping || (s->from_peer && s->proxy->cut_off_at >= 0))
     {
-      session_refuse (s, FAIL_BUSY, STR ("cut off"));
+      session_refuse (s, FAIL_BUSY,
+                      stopping ? STR ("the instance is stopping")
+                               : STR ("cut off"));
       session_end (s);
       return false;
     }
@@ -404,9 +407,14 @@
     {
       stream_t *st = s->stream;
       str_t raw = { buf_str (stream_in (st)).p, used };
-      bool forwarded = m.kind == CLIENT_OP && forward_needed (s, &m.op)
-                       && forward_op (s, &m.op, raw);
-      if (!forwarded && !handle_message (s, &m))
+      bool op = m.kind == CLIENT_OP && s->started;
+      bool open = true;
+      if (op && stop_refuses (s, &m.op))
+        open = stop_refuse (s, &m.op);
+      else if (!op || !forward_needed (s, &m.op)
+               || !forward_op (s, &m.op, raw))
+        open = handle_message (s, &m);
+      if (!open)
         return;
       buf_take (stream_in (st), used);
     }
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -270,6 +270,22 @@
     statement_fail (s, f, STR ("no connection in time"));
 }
 
+/* Fails a statement that was sent and whose answer will not be received; its
+   connection is closed.  */
+static void
+fail_unanswered (session_t *s, str_t why)
+{
+  const request_t *r = &s->req;
+
+  if (s->tx == TX_NONE && r->read_only)
+    statement_fail (s, FAIL_TIMEOUT, why);
+  else if (s->tx == TX_NONE
+           || (r->op.kind == OP_COMMIT && s->tx_wrote && s->tx_begun))
+    statement_indoubt (s, why);
+  else
+    statement_abort (s, why);
+}
+
 void
 statement_expire (session_t *s, msec_t now)
 {
@@ -309,11 +325,20 @@
     db_failed (p, d, now);
   if (now < r->deadline)
     statement_retry (s, d, FAIL_BUSY);
-  else if (s->tx == TX_NONE && r->read_only)
-    statement_fail (s, FAIL_TIMEOUT, STR ("no answer in time"));
-  else if (s->tx == TX_NONE
-           || (r->op.kind == OP_COMMIT && s->tx_wrote && s->tx_begun))
-    statement_indoubt (s, STR ("no answer in time"));
   else
-    statement_abort (s, STR ("no answer in time"));
+    fail_unanswered (s, STR ("no answer in time"));
+}
+
+void
+statement_give_up (session_t *s)
+{
+  link_t *k = s->link;
+
+  if (k == NULL)
+    {
+      expire_waiting (s);
+      return;
+    }
+  link_close (s->proxy, k);
+  fail_unanswered (s, STR ("the instance is stopping"));
 }
--- a/lib/proxy/sweep.c
+++ b/lib/proxy/sweep.c
@@ -63,10 +63,15 @@
       session_end (s);
       return;
     }
+  /* Forwarding instances leave by themselves once control has told them, and
+     a statement that is on its way here would end in doubt.  */
+  if (s->from_peer && p->stop_at >= 0 && stop_phase (p, now) < STOP_REFUSE)
+    return;
   if (p->close_quota == 0 || !stream_input_empty (s->stream))
     return;
-  /* A close now would lose output that the client has not received.  */
-  if (buf_len (stream_out (s->stream)))
+  /* A close now would lose output that the client has not received.  Closed in
+     the turn of its answer, the session has not got the next statement yet. */
+  if (!stream_flush_now (s->stream))
     {
       wake_at (p, now + 1);
       return;
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -575,6 +575,17 @@
 }
 END_TEST
 
+/* Runs the loop for MS though the proxy, which has closed its last session,
+   ends it in each turn.  */
+static void
+run_stopped (stage_t *s, msec_t ms)
+{
+  msec_t end = msec_now () + ms;
+
+  while (msec_now () < end)
+    stage_run (s, 5, NULL, NULL);
+}
+
 /* Guards against a planned stop that aborts an open transaction, and against
    one that keeps an idle session open.  */
 START_TEST (stop_lets_open_transaction_finish)
@@ -591,8 +602,13 @@
   s->done = NULL;
   stage_run (s, 2600, NULL, NULL);
   ck_assert (idle->closed && !c->closed);
-  ASK (c, "QUERY c1 COMMIT\r\n", "READY I");
-  ck_assert_ptr_nonnull (strstr (c->received, "COMPLETE sig-db0"));
+  c->received[0] = '\0';
+  stage_send (c, "QUERY c1 COMMIT\r\n");
+  /* The proxy closes its last session with the answer, and ends the loop
+     before the client has read it.  */
+  run_stopped (s, 200);
+  ck_assert_ptr_nonnull (strstr (c->received, "COMPLETE sig-db0\r\nREADY I"));
+  ck_assert (c->closed);
   stage_free (s);
 }
 END_TEST
@@ -640,6 +656,135 @@
 }
 END_TEST
 
+/* Guards against a statement of an open transaction that is accepted late in a
+   planned stop and cut off when the process ends: after the first half of the
+   grace period it is refused, but for a COMMIT that can be answered in time
+   (review/4).  */
+START_TEST (stop_refuses_late_statements_of_transactions)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *a = stage_session (s, "own");
+  stage_client_t *b = stage_session (s, "own");
+  stage_client_t *c = stage_session (s, "own");
+
+  s->tx_idle = 10000;
+  s->version = 2;
+  stage_run (s, 700, NULL, NULL);
+  ASK (a, "QUERY a1 BEGIN\r\n", "READY T");
+  ASK (a, "QUERY a2 WRITE 1 a\r\n", "READY T");
+  ASK (b, "QUERY b1 BEGIN\r\n", "READY T");
+  ASK (b, "QUERY b2 WRITE 1 a\r\n", "READY T");
+  ASK (c, "QUERY c1 BEGIN\r\n", "READY T");
+  proxy_stop (s->proxy);
+  stage_run (s, 2900, NULL, NULL);
+  ASK (a, "QUERY a3 READ 1\r\n", "READY T");
+  stage_run (s, 200, NULL, NULL);
+  ASK (a, "QUERY a4 READ 1\r\n", "ERROR ABORTED");
+  ck_assert_ptr_nonnull (strstr (a->received, "READY E"));
+  ASK (c, "QUERY c2 READ 1\r\n", "ERROR ABORTED");
+  ASK (b, "QUERY b3 COMMIT\r\n", "COMPLETE sig-db0\r\nREADY I");
+  ck_assert_int_eq (stage_count (&s->db[0], "a4 READ"), 0);
+  ck_assert_int_eq (stage_count (&s->db[0], "T- ROLLBACK"), 1);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a COMMIT that is accepted although its answer may come only
+   after the end of the process.  */
+START_TEST (stop_refuses_a_commit_without_time)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = stage_session (s, "own");
+
+  s->timeout = 2000;
+  s->tx_idle = 10000;
+  s->version = 2;
+  stage_run (s, 700, NULL, NULL);
+  ASK (c, "QUERY c1 BEGIN\r\n", "READY T");
+  ASK (c, "QUERY c2 WRITE 1 a\r\n", "READY T");
+  proxy_stop (s->proxy);
+  stage_run (s, 4000, NULL, NULL);
+  c->received[0] = '\0';
+  stage_send (c, "QUERY c3 COMMIT\r\n");
+  run_stopped (s, 200);
+  ck_assert_ptr_nonnull (strstr (c->received, "ERROR ABORTED"));
+  ck_assert_int_eq (stage_count (&s->db[0], "c3 COMMIT"), 0);
+  stage_free (s);
+}
+END_TEST
+
+static bool
+has_ready (void *arg)
+{
+  const stage_client_t *c = arg;
+
+  return strstr (c->received, "READY ") || c->closed;
+}
+
+static bool
+is_closed (void *arg)
+{
+  return ((const stage_client_t *)arg)->closed;
+}
+
+/* Guards against statements whose database is silent and that are cut off
+   without an answer at the end of a planned stop.  */
+START_TEST (stop_answers_what_is_in_progress)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *a = stage_session (s, "own");
+  stage_client_t *b = stage_session (s, "own");
+  stage_client_t *c = stage_session (s, "lead");
+
+  s->timeout = 8000;
+  s->version = 2;
+  stage_run (s, 700, NULL, NULL);
+  ASK (a, "QUERY a1 BEGIN\r\n", "READY T");
+  ASK (a, "QUERY a2 WRITE 1 a\r\n", "READY T");
+  ASK (b, "QUERY b1 BEGIN\r\n", "READY T");
+  ASK (b, "QUERY b2 WRITE 1 a\r\n", "READY T");
+  proxy_stop (s->proxy);
+  stage_run (s, 2000, NULL, NULL);
+  for (int i = 0; i < STAGE_DBS; i++)
+    s->db[i].ignore_all = true;
+  a->received[0] = b->received[0] = c->received[0] = '\0';
+  stage_send (a, "QUERY a3 WRITE 1 a\r\n");
+  stage_send (b, "QUERY b3 COMMIT\r\n");
+  stage_send (c, "QUERY c1 READ 1\r\n");
+  /* The loop ends with the process.  */
+  stage_run (s, 4500, NULL, NULL);
+  ck_assert_int_lt (msec_now () - s->proxy->stop_at, s->proxy->conf.grace);
+  run_stopped (s, 50);
+  ck_assert_ptr_nonnull (strstr (a->received, "ERROR ABORTED"));
+  ck_assert_ptr_nonnull (strstr (b->received, "ERROR INDOUBT"));
+  ck_assert_ptr_nonnull (strstr (c->received, "ERROR "));
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a client that sends each statement right after the answer to
+   the one before, and is cut off: its session is closed with an answer.  */
+START_TEST (stop_closes_a_busy_session_with_an_answer)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = stage_session (s, "own");
+
+  proxy_stop (s->proxy);
+  stage_run (s, DRAIN_DELAY - 100, NULL, NULL);
+  while (!stage_run (s, 1, is_closed, c))
+    {
+      c->received[0] = '\0';
+      stage_send (c, "QUERY r READ 1\r\n");
+      for (int i = 0; i < 1000 && !has_ready (c); i++)
+        stage_run (s, 1, has_ready, c);
+      ck_assert_ptr_nonnull (strstr (c->received, "READY I"));
+      ck_assert_int_lt (msec_now () - s->proxy->stop_at,
+                        s->proxy->conf.grace / 2 + 500);
+    }
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against an instance that stays ready in a zone that is cut off, and
    against one that isn't ready because it lost only control.  */
 START_TEST (cut_off_instance_is_not_ready)
@@ -891,6 +1036,10 @@
   tcase_add_test (t, leaving_primary_commits_no_synchronous_write);
   tcase_add_test (t, stop_lets_open_transaction_finish);
   tcase_add_test (t, stop_closes_a_session_after_its_answer);
+  tcase_add_test (t, stop_refuses_late_statements_of_transactions);
+  tcase_add_test (t, stop_refuses_a_commit_without_time);
+  tcase_add_test (t, stop_answers_what_is_in_progress);
+  tcase_add_test (t, stop_closes_a_busy_session_with_an_answer);
   tcase_add_test (t, cut_off_instance_is_not_ready);
   tcase_add_test (t, cut_off_with_a_replaced_primary_is_not_ready);
   tcase_add_test (t, report_names_the_roster_after_changes);
