--- a/test/stage.c
+++ b/test/stage.c
@@ -388,9 +388,16 @@
   };
   size_t n = s->extra_route ? 4 : 3;
   if (s->extra_host)
-    r[n++] = (route_entry_t){
-      str_of (s->extra_host), STR ("svc"), FRESH_PRIMARY, 0, s->timeout, 200, 2
-    };
+    {
+      r[n] = (route_entry_t){ str_of (s->extra_host),
+                              STR ("svc"),
+                              FRESH_PRIMARY,
+                              0,
+                              s->timeout,
+                              200,
+                              2 };
+      n++;
+    }
   service_entry_t v = { STR ("svc"), s->connections, s->sync_replicas };
   setup_t m = { .version = s->version,
                 .tx_idle = s->tx_idle,
