proxy: a forwarded answer is passed on when it is complete

Cause: an instance that forwards passed on each line of the owner's answer as it came; when the connection ended before READY it ran the read itself behind them.

The answer is kept until READY and dropped with its connection, as answers of databases always were.

Both new tests of test_forward failed before.

--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -19,7 +19,9 @@
   ENDPOINTS_TIMEOUT = 1500, /* ms from the start to wait for the endpoints */
   ANSWER_SLACK = 300, /* ms beyond the route's limit until an owner that does
                          not answer counts as failed */
-  DIAL_TIMEOUT = 150, /* ms to connect to an owner in the same zone */
+  ANSWER_KEEP = 64 << 10, /* bytes of the buffer of an idle session's answers;
+                             a larger one is freed */
+  DIAL_TIMEOUT = 150,     /* ms to connect to an owner in the same zone */
   PEER_ACK_TIMEOUT = 500, /* ms without a TCP acknowledgement: machine down */
   OWNER_BACKOFF = 2000 /* ms that an owner is avoided after a failure; control
                        removes a failed one after 1.5 s */
@@ -320,6 +322,7 @@
 
   s->forward = NULL;
   buf_free (&f->text);
+  buf_free (&f->answer);
   free (f);
 }
 
@@ -352,6 +355,7 @@
   f->sent = p->now;
   f->done = false;
   buf_take (&f->text, buf_len (&f->text));
+  buf_take (&f->answer, buf_len (&f->answer));
   buf_adds (&f->text, raw);
   buf_adds (stream_out (f->stream), raw);
   stream_flush (f->stream);
@@ -510,6 +514,10 @@
   if (m->state == TX_NONE)
     session_tx_end (s);
   s->tx = m->state;
+  buf_adds (stream_out (s->stream), buf_str (&f->answer));
+  buf_take (&f->answer, buf_len (&f->answer));
+  if (f->answer.cap > ANSWER_KEEP)
+    buf_free (&f->answer);
   s->proxy->conf.client->ready (stream_out (s->stream), s->tx, (pos_t){ 0 });
   stream_flush (s->stream);
   session_next (s);
@@ -534,7 +542,7 @@
       return true;
     }
   f->done |= m->kind == DB_DONE;
-  buf_adds (stream_out (s->stream), raw);
+  buf_adds (&f->answer, raw);
   return true;
 }
 
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -225,6 +225,7 @@
   msec_t sent;
   msec_t timeout; /* ms for one statement, of the route */
   buf_t text;     /* the statement as the client sent it */
+  buf_t answer;   /* kept until it is complete: the statement may be repeated */
 } forward_t;
 
 /* ---- sessions ---- */
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -230,6 +230,64 @@
 }
 END_TEST
 
+/* Sends TEXT from the owner to the instances that forward to it.  */
+static void
+owner_sends (stage_t *s, const char *text)
+{
+  for (session_t *x = owner (s)->sessions; x; x = x->next)
+    if (x->from_peer)
+      {
+        buf_adds (stream_out (x->stream), str_of (text));
+        stream_flush (x->stream);
+      }
+}
+
+/* Guards against a read with the rows of two runs: those of the owner's answer
+   were passed on before it was complete, and the read was run again when the
+   connection was reset (review/2).  */
+START_TEST (part_of_an_answer_is_dropped_with_its_owner)
+{
+  stage_t *s = stage_pair ();
+  stage_client_t *c = start_at_non_owner (s, "lead");
+
+  ASK (c, "QUERY q1 READ 7\r\n", "READY I -\r\n");
+  s->db[0].ignore_all = true;
+  c->received[0] = '\0';
+  stage_send (c, "QUERY q2 READ 8\r\n");
+  stage_run (s, 50, NULL, NULL);
+  owner_sends (s, "ROW first\r\nROW second\r\nCOMPLETE sig-first\r\n");
+  stage_run (s, 50, NULL, NULL);
+  s->db[0].ignore_all = false;
+  fail_owner (s);
+  stage_run (s, 400, NULL, NULL);
+  ck_assert_str_eq (c->received,
+                    "ROW db0\r\nCOMPLETE sig-db0\r\nREADY I -\r\n");
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against two answers to one write: COMPLETE was passed on, and the
+   connection ended before READY.  */
+START_TEST (write_has_one_answer_after_its_owner_fails)
+{
+  stage_t *s = stage_pair ();
+  stage_client_t *c = start_at_non_owner (s, "lead");
+
+  ASK (c, "QUERY q1 WRITE 7 data\r\n", "READY I -\r\n");
+  s->db[0].ignore_all = true;
+  c->received[0] = '\0';
+  stage_send (c, "QUERY q2 WRITE 8 data\r\n");
+  stage_run (s, 50, NULL, NULL);
+  owner_sends (s, "COMPLETE sig-first\r\n");
+  stage_run (s, 50, NULL, NULL);
+  fail_owner (s);
+  stage_run (s, 100, NULL, NULL);
+  ck_assert_str_eq (c->received,
+                    "ERROR INDOUBT an instance was lost\r\nREADY I -\r\n");
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a transaction that continues without its earlier statements
    after the owner failed.  */
 START_TEST (transaction_aborts_after_owner_fails)
@@ -301,6 +359,8 @@
   tcase_add_test (t, transaction_runs_at_the_owner);
   tcase_add_test (t, write_is_in_doubt_after_owner_fails);
   tcase_add_test (t, read_runs_locally_after_owner_fails);
+  tcase_add_test (t, part_of_an_answer_is_dropped_with_its_owner);
+  tcase_add_test (t, write_has_one_answer_after_its_owner_fails);
   tcase_add_test (t, transaction_aborts_after_owner_fails);
   tcase_add_test (t, session_reads_own_write_at_another_instance);
   tcase_add_test (t, loss_of_owner_and_control_is_cut_off);
