platform: a heartbeat that lacks a field names no database

A database that drained was sent reads for longer than drain-ms after another writer had sent one heartbeat under its id with fields missing and a higher seq (DRAIN).

Cause: slots, version and cold-left-ms were not required, so the heartbeat was taken and the database's own ones counted as late. A whole heartbeat of the same start that names another service or address is refused too; it moved a live database.

--- a/lib/fleet/roster.c
+++ b/lib/fleet/roster.c
@@ -78,6 +78,16 @@
          || b->seq - s->seq <= SEQ_JUMP_MAX;
 }
 
+/* Whether a heartbeat of the same start, whose time is known, names another
+   service or address: a database keeps them, so it is of another writer.  */
+static bool
+moves (const server_t *s, const backend_t *b)
+{
+  return b->born > 0 && b->born == s->incarnation
+         && (!str_eq (str_of (s->service), b->service)
+             || !str_eq (str_of (s->address), b->address));
+}
+
 static void
 mark_changed (roster_table_t *r, server_t *s)
 {
@@ -146,6 +156,9 @@
                     (long long)s->seq);
   if (s && b->gone)
     return deregister (r, s, b, now);
+  if (s && moves (s, b))
+    return err_set (e, ERR_RANGE, s->id,
+                    "another service or address than before");
   if (s == NULL && (s = add (r, b->id)) == NULL)
     return err_set (e, ERR_FULL, "roster", "%d databases", ROSTER_MAX);
   bool restarted = b->born != s->incarnation;
--- a/test/platform_control.sh
+++ b/test/platform_control.sh
@@ -63,7 +63,7 @@
   serves $i 5 || fail "instance $i does not serve version 5"
   get $i | grep -q '"timeout-ms":100' || fail "other content replaced the version in force"
 done
-heartbeat='{"service":"s","addr":"127.0.7.8:1","zone":"z1","state":"ready","db-role":"replica","slots":2,"seq":1}'
+heartbeat='{"service":"s","addr":"127.0.7.8:1","zone":"z1","state":"ready","db-role":"replica","version":"v1","cold-left-ms":0,"slots":2,"seq":1}'
 code=$(curl -s -o /dev/null -w '%{http_code}' -X PUT -d "$heartbeat" http://127.0.7.2:28782/pimentopost/instances/i-1)
 [ "$code" = 200 ] || fail "a heartbeat got $code"
 code=$(curl -s -o /dev/null -w '%{http_code}' -X PUT -d '{"seq":' http://127.0.7.2:28782/pimentopost/instances/i-1)
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -241,6 +241,32 @@
 }
 END_TEST
 
+/* Guards against an entry of another writer that moves a live database to
+   another service or address: clients of the one lose it, those of the other
+   get its data.  */
+START_TEST (odd_entry_moves_no_live_database)
+{
+  roster_table_t r = { 0 };
+  backend_t b = heartbeat ("a", "127.0.0.1:1", 10, 1);
+  err_t e = { 0 };
+
+  ck_assert (roster_heartbeat (&r, &b, 100, &e));
+  b.seq = 2;
+  b.service = STR ("other");
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  ck_assert_int_eq (e.code, ERR_RANGE);
+  b = heartbeat ("a", "127.0.0.1:2", 10, 3);
+  ck_assert (!roster_heartbeat (&r, &b, 100, &e));
+  ck_assert_str_eq (roster_find (&r, STR ("a"))->address, "127.0.0.1:1");
+  b = heartbeat ("a", "127.0.0.1:1", 10, 2);
+  ck_assert (roster_heartbeat (&r, &b, 100, &e));
+  b = heartbeat ("a", "127.0.0.1:2", 11, 1);
+  ck_assert (roster_heartbeat (&r, &b, 100, &e));
+  ck_assert_str_eq (roster_find (&r, STR ("a"))->address, "127.0.0.1:2");
+  roster_free (&r);
+}
+END_TEST
+
 /* Guards against a name that is shortened on its way, and so becomes that of
    another database or service: it is kept whole or refused.  */
 START_TEST (long_names_are_kept_whole_or_refused)
@@ -724,6 +750,7 @@
   tcase_add_test (t, unusable_heartbeat_is_refused);
   tcase_add_test (t, late_heartbeat_does_not_take_the_address_back);
   tcase_add_test (t, odd_entries_are_refused);
+  tcase_add_test (t, odd_entry_moves_no_live_database);
   tcase_add_test (t, long_names_are_kept_whole_or_refused);
   tcase_add_test (t, odd_sequence_number_keeps_the_database);
   tcase_add_test (t, roster_finds_each_of_many);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -99,8 +99,15 @@
   return pf_heartbeat_parse (pool, STR ("i-1"), str_of (body), false, b, &e);
 }
 
+#define GOOD_BEAT                                                             \
+  "{\"service\":\"ss\",\"addr\":\"h:1\",\"zone\":\"zz\","                     \
+  "\"version\":\"v1\",\"slots\":33,\"state\":\"ready\","                      \
+  "\"cold-left-ms\":10,\"db-role\":\"replica\",\"seq\":44}"
+
 /* Guards against a database registered from missing fields or fields of the
-   wrong type.  */
+   wrong type, and against such a heartbeat under the id of a live one: its
+   sequence number made those of the database count as late, so that its
+   draining was acknowledged and not followed (review's record 'odd').  */
 START_TEST (invalid_heartbeats_are_refused)
 {
   static const char *const bad[] = {
@@ -124,12 +131,33 @@
     ck_assert_msg (!parse_heartbeat (bad[i], &b), "%s", bad[i]);
   ck_assert (
       parse_heartbeat ("{\"service\":\"s\",\"addr\":\"h:1\",\"zone\":\"z\","
+                       "\"version\":\"v1\",\"cold-left-ms\":0,"
                        "\"state\":\"draining\",\"db-role\":\"replica\","
                        "\"seq\":4,\"born\":17,\"slots\":3}",
                        &b));
   ck_assert (b.leaving && !b.primary);
   ck_assert_int_eq (b.born, 17);
   ck_assert_int_eq (b.slots, 3);
+  ck_assert (parse_heartbeat (GOOD_BEAT, &b));
+  /* Each field in turn is renamed, or gets a value of another type.  */
+  static const char *const field[]
+      = { "service", "addr", "zone",         "version", "slots",
+          "state",   "seq",  "cold-left-ms", "db-role" };
+  for (size_t i = 0; i < sizeof field / sizeof *field; i++)
+    {
+      char body[400], name[32];
+      snprintf (name, sizeof name, "\"%s\":", field[i]);
+      snprintf (body, sizeof body, "%s", GOOD_BEAT);
+      strstr (body, name)[1] = '_';
+      ck_assert_msg (!parse_heartbeat (body, &b), "%s", body);
+      snprintf (body, sizeof body, "%s", GOOD_BEAT);
+      char *value = strstr (body, name) + strlen (name);
+      size_t n = strcspn (value, ",}");
+      memset (value, ' ', n);
+      memcpy (value, "[]", 2);
+      if (n >= 2)
+        ck_assert_msg (!parse_heartbeat (body, &b), "%s", body);
+    }
 }
 END_TEST
 
