--- a/lib/cell/endpoint.c
+++ b/lib/cell/endpoint.c
@@ -55,6 +55,7 @@
   return x;
 }
 
+/* NULL if the address or the zone can't be one.  */
 static cell_endpoint_t *
 add (cell_t *c, str_t address, str_t zone)
 {
@@ -63,13 +64,13 @@
 
   if (x && !x->gone)
     return x;
-  if (!address_check (address, "endpoint", NULL) || zone.n >= sizeof x->zone)
+  if (!address_check (address, "endpoint", NULL)
+      || (zone.n && !name_check (zone, "zone", NULL)))
     return NULL;
   if (x == NULL)
     x = create (t, address);
   x->gone = x->direct = false;
-  if (!str_copy (x->zone, sizeof x->zone, zone))
-    return NULL;
+  str_copy (x->zone, sizeof x->zone, zone);
   mark_changed (t, x);
   return x;
 }
--- a/lib/cell/takeovers.c
+++ b/lib/cell/takeovers.c
@@ -11,7 +11,10 @@
 
   if (t)
     return t;
-  if (c->ntakeover == SERVICES_MAX || service.n >= NAME_SIZE)
+  /* Reports of other instances name services that no check has seen.  */
+  if (!name_check (service, "service", NULL))
+    return NULL;
+  if (c->ntakeover == SERVICES_MAX)
     {
       log_event (EV_SERVICES_FULL, "service=" STR_FMT " services=%d",
                  STR_ARG (service), SERVICES_MAX);
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -523,6 +523,23 @@
 }
 END_TEST
 
+/* Guards against a report of another instance that ends the process with the
+   name of a service that can't be one.  */
+START_TEST (odd_service_has_no_takeover)
+{
+  fixture_t *w = fixture_new ();
+  cell_t *c = w->cell[leader (w)];
+  char name[NAME_SIZE + 1];
+
+  snprintf (name, sizeof name, "%0*d", NAME_SIZE, 1);
+  ck_assert_ptr_null (takeover_of (c, str_of (name)));
+  ck_assert_ptr_null (takeover_of (c, STR ("a\0b")));
+  ck_assert_ptr_null (takeover_of (c, (str_t){ 0 }));
+  ck_assert_ptr_nonnull (takeover_of (c, STR ("svc")));
+  fixture_free (w);
+}
+END_TEST
+
 static bool
 has_promoted_twice (fixture_t *w)
 {
@@ -730,6 +747,7 @@
   tcase_add_test (t, lost_roster_update_is_sent_again);
   tcase_add_test (t, failed_primary_is_replaced_by_the_most_advanced);
   tcase_add_test (t, planned_replacement_keeps_late_commits);
+  tcase_add_test (t, odd_service_has_no_takeover);
   tcase_add_test (t, unanswered_promotion_keeps_its_token);
   tcase_add_test (t, replaced_instance_is_removed);
   tcase_add_test (t, planned_replacement_is_removed);
