control: an instance that stops answers what it accepted

The operator's submission, or a read of the configuration, that a control instance had accepted just before SIGTERM got no answer: the loop ended at once. The instance now ends when nothing awaits its answer, 50 ms after the last one, or 1.5 s later at most. Heartbeats, which databases repeat elsewhere, are not waited for.

Evidence: stopping_instance_answers_what_it_accepted failed before (0 answers).

--- a/lib/cell/leave.c
+++ b/lib/cell/leave.c
@@ -1,5 +1,12 @@
 #include "local.h"
 
+enum
+{
+  ANSWER_LIMIT
+  = 1500, /* ms that an answer may take after the rest of a stop */
+  ANSWER_SEND_TIME = 50 /* ms that the HTTP server has to send the last one */
+};
+
 /* An instance that stops while there are more voters than the fault tolerance
    needs asks the leader to remove it.  Its disk may never come back, and until
    it has been silent for MEMBER_TIMEOUT the failure of another one could leave
@@ -28,28 +35,42 @@
     peers_send (c, l->address, MSG_HELLO, &m, true);
 }
 
-void
-leave_tick (cell_t *c)
+/* Asks to be removed; false once that is done or has taken too long.  */
+static bool
+is_leaving (cell_t *c)
 {
-  if (c->stopping_since == 0)
-    return;
   bool leads = raft_role (c->raft) == RAFT_LEADER;
+
+  if (!c->leaving)
+    return false;
   /* A leader that was removed steps down when its removal is committed.  */
   c->removed |= !leads && raft_member (c->raft, raft_id (c->raft)) == NULL;
   if (c->removed || c->now - c->stopping_since >= LEAVE_TIMEOUT)
     {
       log_event (EV_RAFT_LEAVE, "left=%d ms=%lld", c->removed,
                  (long long)(c->now - c->stopping_since));
-      loop_stop (c->loop);
-      return;
+      c->leaving = false;
+      return false;
     }
   if (c->now - c->join.asked_at < LEAVE_INTERVAL)
-    return;
+    return true;
   c->join.asked_at = c->now;
   if (leads)
     remove_self (c);
   else
     request_removal (c);
+  return true;
+}
+
+void
+leave_tick (cell_t *c)
+{
+  if (c->stopping_since == 0 || is_leaving (c))
+    return;
+  bool answered
+      = !pending_any (c) && c->now - c->answered_at >= ANSWER_SEND_TIME;
+  if (answered || c->now - c->stopping_since >= LEAVE_TIMEOUT + ANSWER_LIMIT)
+    loop_stop (c->loop);
 }
 
 void
@@ -70,11 +91,8 @@
 {
   const member_t *self = raft_member (c->raft, raft_id (c->raft));
 
-  if (self == NULL || !join_has_surplus (c) || raft_leader (c->raft) == 0)
-    {
-      loop_stop (c->loop);
-      return;
-    }
-  if (c->stopping_since == 0)
-    c->stopping_since = c->now;
+  if (c->stopping_since)
+    return;
+  c->stopping_since = c->now;
+  c->leaving = self && join_has_surplus (c) && raft_leader (c->raft) != 0;
 }
--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -208,6 +208,8 @@
   join_t join;
   msec_t leader_seen_at; /* a leader was known last */
   msec_t stopping_since; /* 0: not stopping */
+  bool leaving;          /* stopping, and asks to be removed */
+  msec_t answered_at;    /* last answer to a submission or a read */
   bool removed;          /* this instance is no longer a member */
   /* At the leader: when each member joined and answered last.  */
   int64_t member_id[PEERS_MAX];
@@ -280,7 +282,8 @@
 bool join_has_surplus (const cell_t *c);
 /* leave.c */
 /* leave_tick: ends the loop of a stopping instance once it was removed from
-   the membership or LEAVE_TIMEOUT has passed.  */
+   the membership, if it is not needed, or LEAVE_TIMEOUT has passed, and what
+   it accepted is answered.  */
 void leave_tick (cell_t *c);
 /* leave_request: at the leader, removes the instance that sent M; OUT says
    whether that is committed.  */
@@ -298,6 +301,8 @@
 /* roster_merge: enters the records V, which SOURCE lists.  */
 void roster_merge (cell_t *c, const list_t *v, const char *source);
 void pending_check (cell_t *c);
+/* pending_any: a submission or a read awaits its answer.  */
+bool pending_any (const cell_t *c);
 /* update.c: rosters to control instances, updates to entry instances */
 /* update_entry_count: entry instances connected to any control instance.  */
 int64_t update_entry_count (cell_t *c);
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -293,6 +293,7 @@
   int64_t ticket = p->ticket;
 
   p->ticket = 0;
+  c->answered_at = c->now;
   answer (c, ticket, status);
 }
 
@@ -312,6 +313,15 @@
     finish (c, p, CELL_UNAVAILABLE);
 }
 
+bool
+pending_any (const cell_t *c)
+{
+  for (int i = 0; i < PENDING_MAX; i++)
+    if (c->pending[i].ticket)
+      return true;
+  return false;
+}
+
 void
 pending_check (cell_t *c)
 {
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -161,6 +161,8 @@
   msec_t heartbeat_at; /* next round of heartbeats */
   msec_t until;
   bool (*done) (fixture_t *w);
+  bool submitted;
+  int answers; /* to submissions and reads, with success */
   int promotes;
   char promoted[16];
   int64_t token[8];
@@ -270,9 +272,10 @@
 static void
 answer (void *arg, int64_t ticket, const cell_answer_t *a)
 {
-  (void)arg;
+  fixture_t *w = arg;
+
   (void)ticket;
-  (void)a;
+  w->answers += a->status == CELL_OK;
 }
 
 static bool
@@ -523,6 +526,32 @@
 }
 END_TEST
 
+/* Submits a configuration and stops the leader in the same turn.  */
+static bool
+submit_and_stop (fixture_t *w)
+{
+  if (!w->submitted)
+    {
+      submit_sync_replicas (w);
+      cell_stop (w->cell[leader (w)]);
+    }
+  w->submitted = true;
+  return false;
+}
+
+/* Guards against a submission that is cut off without an answer when its
+   instance is stopped right after it accepted it.  */
+START_TEST (stopping_instance_answers_what_it_accepted)
+{
+  fixture_t *w = fixture_new ();
+
+  /* The loop ends with the instance.  */
+  run (w, 3000, submit_and_stop);
+  ck_assert_int_eq (w->answers, 1);
+  fixture_free (w);
+}
+END_TEST
+
 /* Guards against a report of another instance that ends the process with the
    name of a service that can't be one.  */
 START_TEST (odd_service_has_no_takeover)
@@ -748,6 +777,7 @@
   tcase_add_test (t, failed_primary_is_replaced_by_the_most_advanced);
   tcase_add_test (t, planned_replacement_keeps_late_commits);
   tcase_add_test (t, odd_service_has_no_takeover);
+  tcase_add_test (t, stopping_instance_answers_what_it_accepted);
   tcase_add_test (t, unanswered_promotion_keeps_its_token);
   tcase_add_test (t, replaced_instance_is_removed);
   tcase_add_test (t, planned_replacement_is_removed);
