proxy: endpoints and owners get a file of their own

forward.c had grown to 573 lines with two jobs: the list of other instances and the owners among them, and the forwarding of sessions. The first one moves to endpoint.c (218 lines); its functions are named after what they are asked about (service_may_connect for forward_may_connect). No behaviour changes; test_proxy (42) and test_forward (12) pass.

--- a/lib/proxy/candidates.c
+++ b/lib/proxy/candidates.c
@@ -29,7 +29,7 @@
 static int
 wanted (proxy_t *p, service_t *v, const db_t *d)
 {
-  return forward_has_owners (p, v) ? 1 + 2 * d->slots / forward_sharers (p, v)
+  return service_has_owners (p, v) ? 1 + 2 * d->slots / service_sharers (p, v)
                                    : 1;
 }
 
@@ -41,9 +41,9 @@
 static int
 link_limit (proxy_t *p, service_t *v, const db_t *d)
 {
-  bool own = forward_has_owners (p, v);
+  bool own = service_has_owners (p, v);
   int share = (own ? v->connections * 3 / 4 : v->connections / 2)
-              / forward_sharers (p, v);
+              / service_sharers (p, v);
   int need = wanted (p, v, d) + pinned (d);
 
   if (d->full_at && p->now - d->full_at < FULL_BACKOFF)
--- /dev/null
+++ b/lib/proxy/endpoint.c
@@ -0,0 +1,218 @@
+#include "local.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The other instances of the availability zone, as control lists them, and the
+   owners of each service's connections among them.  */
+
+enum
+{
+  ENDPOINTS_TIMEOUT = 1500, /* ms from the start to wait for the endpoints */
+  OWNER_BACKOFF = 2000 /* ms that an owner is avoided after a failure; control
+                          removes a failed one after 1.5 s */
+};
+
+bool
+service_has_owners (const proxy_t *p, const service_t *v)
+{
+  return p->nendpoint > 1 && owners_needed (v->connections, p->entries);
+}
+
+bool
+endpoint_offered (const proxy_t *p)
+{
+  if (p->conf.peers.n == 0 || p->setup == NULL || p->stop_at >= 0
+      || p->cut_off_at >= 0)
+    return false;
+  for (const service_t *v = p->services; v; v = v->next)
+    if (owners_needed (v->connections, p->entries))
+      return true;
+  return false;
+}
+
+static void
+update_owners (proxy_t *p, service_t *v)
+{
+  str_t *address = calloc (p->nendpoint + 1, sizeof *address);
+
+  if (address == NULL)
+    abort ();
+  for (size_t i = 0; i < p->nendpoint; i++)
+    address[i] = str_of (p->endpoint[i].address);
+  int k = owners_count (v->connections, p->entries, (int)p->nendpoint);
+  v->nowner = owners_pick (v->name, address, (int)p->nendpoint, k, v->owner);
+  v->owners_version = p->endpoints_version;
+  v->is_owner = false;
+  for (int i = 0; i < v->nowner; i++)
+    v->is_owner |= str_eq (address[v->owner[i]], p->conf.peers);
+  free (address);
+}
+
+bool
+service_owners_pending (const proxy_t *p, const service_t *v)
+{
+  return p->conf.peers.n && p->nendpoint < 2
+         && p->now - p->started < ENDPOINTS_TIMEOUT
+         && owners_needed (v->connections, p->entries);
+}
+
+bool
+service_may_connect (proxy_t *p, service_t *v)
+{
+  if (!service_has_owners (p, v))
+    return true;
+  if (v->owners_version != p->endpoints_version)
+    update_owners (p, v);
+  return v->is_owner;
+}
+
+int
+service_sharers (proxy_t *p, service_t *v)
+{
+  int entries = p->entries > 0 ? p->entries : ENTRIES_DEFAULT;
+
+  if (!service_has_owners (p, v))
+    return entries;
+  service_may_connect (p, v);
+  int n = v->nowner * entries / (int)p->nendpoint;
+  return n > 0 ? n : 1;
+}
+
+endpoint_entry_t *
+endpoint_pick_owner (proxy_t *p, service_t *v)
+{
+  for (int i = 0; i < v->nowner; i++)
+    {
+      int at = v->owner[(v->next_owner + i) % v->nowner];
+      endpoint_entry_t *x = &p->endpoint[at];
+      if (x->avoid_until > p->now)
+        continue;
+      v->next_owner += i + 1;
+      return x;
+    }
+  return NULL;
+}
+
+void
+endpoint_avoid (proxy_t *p, const char *address)
+{
+  for (size_t i = 0; i < p->nendpoint; i++)
+    if (strcmp (p->endpoint[i].address, address) == 0)
+      p->endpoint[i].avoid_until = p->now + OWNER_BACKOFF;
+}
+
+static int
+endpoint_index (const proxy_t *p, str_t address)
+{
+  for (size_t i = 0; i < p->nendpoint; i++)
+    if (str_eq (str_of (p->endpoint[i].address), address))
+      return (int)i;
+  return -1;
+}
+
+static endpoint_entry_t *
+endpoints_new (size_t n)
+{
+  endpoint_entry_t *v = calloc (n + 1, sizeof *v);
+
+  if (v == NULL)
+    abort ();
+  return v;
+}
+
+static void
+endpoints_replace (proxy_t *p, endpoint_entry_t *v, size_t n)
+{
+  free (p->endpoint);
+  p->endpoint = v;
+  p->nendpoint = n;
+  p->endpoints_version++;
+}
+
+/* Only an address; another text would be sent no statements for long.  */
+static bool
+endpoint_usable (str_t address)
+{
+  err_t e = { 0 };
+  char line[256];
+
+  if (address_check (address, "endpoint", &e))
+    return true;
+  err_line (&e, line, sizeof line);
+  log_event (EV_ENDPOINT_REFUSED, "cause=%s", line);
+  return false;
+}
+
+static void
+endpoints_set (proxy_t *p, const list_t *list)
+{
+  endpoint_entry_t *v = endpoints_new (list->n);
+  size_t n = 0;
+
+  for (size_t i = 0; i < list->n; i++)
+    {
+      str_t a = LIST_AT (*list, endpoint_t, i)->address;
+      int at = endpoint_index (p, a);
+      if (!endpoint_usable (a))
+        continue;
+      str_copy (v[n].address, sizeof v->address, a);
+      if (at >= 0)
+        v[n].avoid_until = p->endpoint[at].avoid_until;
+      n++;
+    }
+  endpoints_replace (p, v, n);
+}
+
+static void
+endpoints_change (proxy_t *p, const list_t *list)
+{
+  size_t n = p->nendpoint;
+  endpoint_entry_t *v = endpoints_new (n + list->n);
+  bool changed = false;
+
+  if (n)
+    memcpy (v, p->endpoint, n * sizeof *v);
+  for (size_t i = 0; i < list->n; i++)
+    {
+      const endpoint_t *x = LIST_AT (*list, endpoint_t, i);
+      int at = endpoint_index (p, x->address);
+      if (x->gone == (at < 0) || !endpoint_usable (x->address))
+        continue;
+      changed = true;
+      if (x->gone)
+        v[at].address[0] = '\0';
+      else
+        str_copy (v[n++].address, sizeof v->address, x->address);
+    }
+  if (!changed)
+    {
+      free (v);
+      return;
+    }
+  size_t kept = 0;
+  for (size_t i = 0; i < n; i++)
+    if (v[i].address[0])
+      v[kept++] = v[i];
+  endpoints_replace (p, v, kept);
+}
+
+void
+endpoints_update (proxy_t *p, const watch_update_t *n)
+{
+  if (!n->has_endpoints)
+    return;
+  if (n->endpoint_changes)
+    endpoints_change (p, &n->endpoints);
+  else
+    endpoints_set (p, &n->endpoints);
+}
+
+bool
+endpoint_listed (const proxy_t *p, const char *address)
+{
+  for (size_t i = 0; i < p->nendpoint; i++)
+    if (strcmp (p->endpoint[i].address, address) == 0)
+      return true;
+  return false;
+}
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -307,7 +307,7 @@
      small number, owners of connections seem not to be needed.  */
   if (n->entries > 0 && (n->roster_complete || n->entries > p->entries))
     p->entries = (int)n->entries;
-  forward_update (p, n);
+  endpoints_update (p, n);
   if (n->setup.n
       && (n->has_leader || p->setup
           || p->now - p->started >= SETUP_NO_LEADER_DELAY))
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -16,223 +16,14 @@
 
 enum
 {
-  ENDPOINTS_TIMEOUT = 1500, /* ms from the start to wait for the endpoints */
   ANSWER_SLACK = 300, /* ms beyond the route's limit until an owner that does
                          not answer counts as failed */
   ANSWER_KEEP = 64 << 10, /* bytes of the buffer of an idle session's answers;
                              a larger one is freed */
   DIAL_TIMEOUT = 150,     /* ms to connect to an owner in the same zone */
   PEER_ACK_TIMEOUT = 500, /* ms without a TCP acknowledgement: machine down */
-  OWNER_BACKOFF = 2000 /* ms that an owner is avoided after a failure; control
-                       removes a failed one after 1.5 s */
 };
 
-/* ---- owners ---- */
-
-bool
-forward_has_owners (const proxy_t *p, const service_t *v)
-{
-  return p->nendpoint > 1 && owners_needed (v->connections, p->entries);
-}
-
-bool
-forward_accepts (const proxy_t *p)
-{
-  if (p->conf.peers.n == 0 || p->setup == NULL || p->stop_at >= 0
-      || p->cut_off_at >= 0)
-    return false;
-  for (const service_t *v = p->services; v; v = v->next)
-    if (owners_needed (v->connections, p->entries))
-      return true;
-  return false;
-}
-
-static void
-update_owners (proxy_t *p, service_t *v)
-{
-  str_t *address = calloc (p->nendpoint + 1, sizeof *address);
-
-  if (address == NULL)
-    abort ();
-  for (size_t i = 0; i < p->nendpoint; i++)
-    address[i] = str_of (p->endpoint[i].address);
-  int k = owners_count (v->connections, p->entries, (int)p->nendpoint);
-  v->nowner = owners_pick (v->name, address, (int)p->nendpoint, k, v->owner);
-  v->owners_version = p->endpoints_version;
-  v->is_owner = false;
-  for (int i = 0; i < v->nowner; i++)
-    v->is_owner |= str_eq (address[v->owner[i]], p->conf.peers);
-  free (address);
-}
-
-bool
-forward_owners_pending (const proxy_t *p, const service_t *v)
-{
-  return p->conf.peers.n && p->nendpoint < 2
-         && p->now - p->started < ENDPOINTS_TIMEOUT
-         && owners_needed (v->connections, p->entries);
-}
-
-bool
-forward_may_connect (proxy_t *p, service_t *v)
-{
-  if (!forward_has_owners (p, v))
-    return true;
-  if (v->owners_version != p->endpoints_version)
-    update_owners (p, v);
-  return v->is_owner;
-}
-
-int
-forward_sharers (proxy_t *p, service_t *v)
-{
-  int entries = p->entries > 0 ? p->entries : ENTRIES_DEFAULT;
-
-  if (!forward_has_owners (p, v))
-    return entries;
-  forward_may_connect (p, v);
-  int n = v->nowner * entries / (int)p->nendpoint;
-  return n > 0 ? n : 1;
-}
-
-static endpoint_entry_t *
-pick_owner (proxy_t *p, service_t *v)
-{
-  for (int i = 0; i < v->nowner; i++)
-    {
-      int at = v->owner[(v->next_owner + i) % v->nowner];
-      endpoint_entry_t *x = &p->endpoint[at];
-      if (x->avoid_until > p->now)
-        continue;
-      v->next_owner += i + 1;
-      return x;
-    }
-  return NULL;
-}
-
-static void
-avoid_owner (proxy_t *p, const char *address)
-{
-  for (size_t i = 0; i < p->nendpoint; i++)
-    if (strcmp (p->endpoint[i].address, address) == 0)
-      p->endpoint[i].avoid_until = p->now + OWNER_BACKOFF;
-}
-
-static int
-endpoint_index (const proxy_t *p, str_t address)
-{
-  for (size_t i = 0; i < p->nendpoint; i++)
-    if (str_eq (str_of (p->endpoint[i].address), address))
-      return (int)i;
-  return -1;
-}
-
-static endpoint_entry_t *
-endpoints_new (size_t n)
-{
-  endpoint_entry_t *v = calloc (n + 1, sizeof *v);
-
-  if (v == NULL)
-    abort ();
-  return v;
-}
-
-static void
-endpoints_replace (proxy_t *p, endpoint_entry_t *v, size_t n)
-{
-  free (p->endpoint);
-  p->endpoint = v;
-  p->nendpoint = n;
-  p->endpoints_version++;
-}
-
-/* Only an address; another text would be sent no statements for long.  */
-static bool
-endpoint_usable (str_t address)
-{
-  err_t e = { 0 };
-  char line[256];
-
-  if (address_check (address, "endpoint", &e))
-    return true;
-  err_line (&e, line, sizeof line);
-  log_event (EV_ENDPOINT_REFUSED, "cause=%s", line);
-  return false;
-}
-
-static void
-endpoints_set (proxy_t *p, const list_t *list)
-{
-  endpoint_entry_t *v = endpoints_new (list->n);
-  size_t n = 0;
-
-  for (size_t i = 0; i < list->n; i++)
-    {
-      str_t a = LIST_AT (*list, endpoint_t, i)->address;
-      int at = endpoint_index (p, a);
-      if (!endpoint_usable (a))
-        continue;
-      str_copy (v[n].address, sizeof v->address, a);
-      if (at >= 0)
-        v[n].avoid_until = p->endpoint[at].avoid_until;
-      n++;
-    }
-  endpoints_replace (p, v, n);
-}
-
-static void
-endpoints_change (proxy_t *p, const list_t *list)
-{
-  size_t n = p->nendpoint;
-  endpoint_entry_t *v = endpoints_new (n + list->n);
-  bool changed = false;
-
-  if (n)
-    memcpy (v, p->endpoint, n * sizeof *v);
-  for (size_t i = 0; i < list->n; i++)
-    {
-      const endpoint_t *x = LIST_AT (*list, endpoint_t, i);
-      int at = endpoint_index (p, x->address);
-      if (x->gone == (at < 0) || !endpoint_usable (x->address))
-        continue;
-      changed = true;
-      if (x->gone)
-        v[at].address[0] = '\0';
-      else
-        str_copy (v[n++].address, sizeof v->address, x->address);
-    }
-  if (!changed)
-    {
-      free (v);
-      return;
-    }
-  size_t kept = 0;
-  for (size_t i = 0; i < n; i++)
-    if (v[i].address[0])
-      v[kept++] = v[i];
-  endpoints_replace (p, v, kept);
-}
-
-void
-forward_update (proxy_t *p, const watch_update_t *n)
-{
-  if (!n->has_endpoints)
-    return;
-  if (n->endpoint_changes)
-    endpoints_change (p, &n->endpoints);
-  else
-    endpoints_set (p, &n->endpoints);
-}
-
-static bool
-is_listed (const proxy_t *p, const char *address)
-{
-  for (size_t i = 0; i < p->nendpoint; i++)
-    if (strcmp (p->endpoint[i].address, address) == 0)
-      return true;
-  return false;
-}
-
 /* ---- sending ---- */
 
 bool
@@ -253,7 +44,7 @@
   if (r == NULL)
     return false;
   v = service_get (p, r->service);
-  return !forward_may_connect (p, v) && pick_owner (p, v) != NULL;
+  return !service_may_connect (p, v) && endpoint_pick_owner (p, v) != NULL;
 }
 
 /* Sends the session's state; the answers to it are counted and dropped.  */
@@ -291,7 +82,8 @@
 {
   proxy_t *p = s->proxy;
   const route_entry_t *r = route_find (p, s->host);
-  endpoint_entry_t *x = r ? pick_owner (p, service_get (p, r->service)) : NULL;
+  endpoint_entry_t *x
+      = r ? endpoint_pick_owner (p, service_get (p, r->service)) : NULL;
   forward_t *f = calloc (1, sizeof *f);
   err_t e = { 0 };
 
@@ -303,7 +95,7 @@
   if (f->stream == NULL)
     {
       if (x)
-        avoid_owner (p, x->address);
+        endpoint_avoid (p, x->address);
       free (f);
       return false;
     }
@@ -411,7 +203,7 @@
              "instance=%s host=" STR_FMT " cause=%s active=%d ms=%lld",
              f->address, STR_ARG (s->host), cause, active,
              active ? (long long)(p->now - f->sent) : 0LL);
-  avoid_owner (p, f->address);
+  endpoint_avoid (p, f->address);
   if (p->now - p->watch.has_leader_at >= CONTROL_TIMEOUT / 2)
     p->owner_lost_at = p->now;
   forward_free (s);
@@ -484,7 +276,8 @@
       return;
     }
   /* The session stops using a draining owner between transactions.  */
-  if (!f->active && s->tx == TX_NONE && !is_listed (s->proxy, f->address))
+  if (!f->active && s->tx == TX_NONE
+      && !endpoint_listed (s->proxy, f->address))
     forward_end (s);
 }
 
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -225,7 +225,7 @@
   msec_t sent;
   msec_t timeout; /* ms for one statement, of the route */
   buf_t text;     /* the statement as the client sent it */
-  buf_t answer;   /* kept until it is complete: the statement may be repeated */
+  buf_t answer; /* kept until it is complete: the statement may be repeated */
 } forward_t;
 
 /* ---- sessions ---- */
@@ -473,20 +473,29 @@
 /* answer_clear: discards the answer on K.  */
 void answer_clear (link_t *k);
 
-/* forward.c */
-void forward_update (proxy_t *p, const watch_update_t *n);
-/* forward_accepts: whether this instance runs statements for others.  */
-bool forward_accepts (const proxy_t *p);
-/* forward_has_owners: whether only owners open connections to V.  */
-bool forward_has_owners (const proxy_t *p, const service_t *v);
-/* forward_may_connect: whether this instance opens connections to V: it is an
+/* endpoint.c */
+void endpoints_update (proxy_t *p, const watch_update_t *n);
+/* endpoints_update: follows an update of control.  endpoint_offered: whether
+   this instance runs statements for others.  */
+bool endpoint_offered (const proxy_t *p);
+/* service_has_owners: whether only owners open connections to V.  */
+bool service_has_owners (const proxy_t *p, const service_t *v);
+/* service_may_connect: whether this instance opens connections to V: it is an
    owner, or V has none.  */
-bool forward_may_connect (proxy_t *p, service_t *v);
-/* forward_owners_pending: whether V needs owners that aren't known yet.  */
-bool forward_owners_pending (const proxy_t *p, const service_t *v);
-/* forward_sharers: number of instances that open connections to V, at
+bool service_may_connect (proxy_t *p, service_t *v);
+/* service_owners_pending: whether V needs owners that aren't known yet.  */
+bool service_owners_pending (const proxy_t *p, const service_t *v);
+/* service_sharers: number of instances that open connections to V, at
    least 1.  */
-int forward_sharers (proxy_t *p, service_t *v);
+int service_sharers (proxy_t *p, service_t *v);
+/* endpoint_pick_owner: the next owner of V that isn't avoided, or NULL.
+   endpoint_avoid: avoids ADDRESS for a while.  endpoint_listed: whether
+   control lists it.  */
+endpoint_entry_t *endpoint_pick_owner (proxy_t *p, service_t *v);
+void endpoint_avoid (proxy_t *p, const char *address);
+bool endpoint_listed (const proxy_t *p, const char *address);
+
+/* forward.c */
 /* forward_needed: whether OP is to be sent to another instance.  */
 bool forward_needed (session_t *s, const op_t *op);
 /* forward_op: forwards OP; RAW is its text as the client sent it.  False when
--- a/lib/proxy/pool.c
+++ b/lib/proxy/pool.c
@@ -35,8 +35,8 @@
 one_per_instance (proxy_t *p, service_t *s)
 {
   return p->entries > 0 && p->setup && s->setup_version == p->setup->version
-         && forward_may_connect (p, s) && !forward_owners_pending (p, s)
-         && s->connections > forward_sharers (p, s);
+         && service_may_connect (p, s) && !service_owners_pending (p, s)
+         && s->connections > service_sharers (p, s);
 }
 
 static db_t *
--- a/lib/proxy/watch.c
+++ b/lib/proxy/watch.c
@@ -98,7 +98,7 @@
                 .takes_changes = true,
                 .updates = w->updates };
 
-  if (forward_accepts (p))
+  if (endpoint_offered (p))
     m.address = p->conf.peers;
   w->endpoint_sent = m.address.n > 0;
 
@@ -222,7 +222,7 @@
     }
   fleet_update (p, n);
   /* Other instances wait for this one's endpoint.  */
-  if (w->endpoint_sent != forward_accepts (p))
+  if (w->endpoint_sent != endpoint_offered (p))
     w->urgent = true;
   update_control (p, n);
   /* A control instance without a leader misses changes.  */
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -70,7 +70,7 @@
 static bool
 second_may_connect (stage_t *s)
 {
-  return forward_may_connect (s->second, service_get (s->second, STR ("svc")));
+  return service_may_connect (s->second, service_get (s->second, STR ("svc")));
 }
 
 /* Opens a session at the instance that owns no connections.  */
@@ -81,7 +81,7 @@
 
   ck_assert (
       second
-      != forward_may_connect (s->proxy, service_get (s->proxy, STR ("svc"))));
+      != service_may_connect (s->proxy, service_get (s->proxy, STR ("svc"))));
   return stage_session_at (s, !second, host);
 }
 
