fleet: replicas are resumed while one can't be asked

A leaving primary with synchronous replicas would have acknowledged nothing, though it runs, when one replica was paused and another one then stopped answering control: the takeover waits for the second one, and the first one stayed paused for that time. The replicas are now resumed when a survey ends without a choice and no call can be carried out later.

--- a/include/fleet.h
+++ b/include/fleet.h
@@ -177,9 +177,9 @@
 /* takeover_position: position of a database other than the primary.  */
 void takeover_position (takeover_t *t, str_t id, pos_t pos);
 /* takeover_paused: database ID is paused for TERM and reports its final
-   position.  takeover_unpausable: it refused to pause.  */
+   position.  takeover_unpausable: one refused to pause.  */
 void takeover_paused (takeover_t *t, str_t id, int64_t term, pos_t pos);
-void takeover_unpausable (takeover_t *t, str_t id);
+void takeover_unpausable (takeover_t *t);
 /* takeover_recorded: the intent is committed; its index is TOKEN.  */
 void takeover_recorded (takeover_t *t, str_t id, int64_t token, msec_t now);
 /* Result of a promote call.  */
--- a/lib/cell/probe.c
+++ b/lib/cell/probe.c
@@ -170,7 +170,7 @@
       log_event (EV_PAUSE_REFUSED, "service=%s database=%s term=%lld cause=%s",
                  p->service, p->id, (long long)p->pause_term,
                  p->fail ? fail_name (p->fail) : "not-held");
-      takeover_unpausable (t, str_of (p->id));
+      takeover_unpausable (t);
     }
 }
 
--- a/lib/fleet/takeover.c
+++ b/lib/fleet/takeover.c
@@ -18,7 +18,7 @@
                      .resume_at = now + RESUME_DELAY,
                      .hold_until = now + TAKEOVER_HOLD_OFF };
   if (!str_copy (t->service, sizeof t->service, service))
-    abort (); /* the roster's check bounds it */
+    abort (); /* name_check has bounded it */
 }
 
 static void
@@ -83,9 +83,8 @@
 }
 
 void
-takeover_unpausable (takeover_t *t, str_t id)
+takeover_unpausable (takeover_t *t)
 {
-  (void)id;
   if (t->phase == PHASE_PAUSE)
     t->unpausable = true;
 }
@@ -330,10 +329,12 @@
     return action (t, TAKEOVER_NONE);
   if (t->sync_replicas == 0 || t->final)
     return decide (t, r, now);
-  /* Pausing is in vain while no database can be chosen.  */
-  if (choose (t, r) == NULL)
-    return give_up (t, now, PROBE_INTERVAL);
-  return start_pause (t, now);
+  if (choose (t, r))
+    return start_pause (t, now);
+  /* Pausing is in vain while no database can be chosen, and those paused
+     before hold up the commits of a primary that still runs.  */
+  give_up (t, now, PROBE_INTERVAL);
+  return resume (t, now);
 }
 
 static takeover_action_t
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -665,6 +665,31 @@
 }
 END_TEST
 
+/* Guards against replicas that stay paused while another one can't be reached:
+   the leaving primary then acknowledges nothing although it runs.  */
+START_TEST (replicas_are_resumed_while_one_is_silent)
+{
+  fixture_t s;
+
+  start_release (&s);
+  s.t.resume_at = s.now;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_PAUSE);
+  takeover_paused (&s.t, STR ("a"), 4, (pos_t){ 3, 7 });
+  s.now += SURVEY_TIMEOUT;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  s.now += PROBE_INTERVAL;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_SURVEY);
+  takeover_position (&s.t, STR ("a"), (pos_t){ 3, 7 });
+  s.now += SURVEY_TIMEOUT;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_RESUME);
+  s.now += PROBE_INTERVAL;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_SURVEY);
+  s.now += SURVEY_TIMEOUT;
+  ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
+  roster_free (&s.r);
+}
+END_TEST
+
 /* Guards against replicas that are resumed while an unanswered call may still
    promote one of them, which would then lack what was committed since.  */
 START_TEST (replicas_stay_paused_while_a_call_is_open)
@@ -699,7 +724,7 @@
 
   start_release (&s);
   ck_assert_int_eq (tick (&s).kind, TAKEOVER_PAUSE);
-  takeover_unpausable (&s.t, STR ("a"));
+  takeover_unpausable (&s.t);
   ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
   s.now += QUIESCE_TIME - 1;
   ck_assert_int_eq (tick (&s).kind, TAKEOVER_NONE);
@@ -764,6 +789,7 @@
   tcase_add_test (t, replicas_are_paused_before_they_are_compared);
   tcase_add_test (t, replica_that_is_not_paused_holds_up_the_promotion);
   tcase_add_test (t, replicas_are_resumed_without_a_takeover);
+  tcase_add_test (t, replicas_are_resumed_while_one_is_silent);
   tcase_add_test (t, replicas_stay_paused_while_a_call_is_open);
   tcase_add_test (t, unpausable_replica_is_surveyed_when_commits_have_ended);
   tcase_add_test (t, new_leader_resumes_replicas);
