--- a/test/platform_control.sh
+++ b/test/platform_control.sh
@@ -68,6 +68,20 @@
 [ "$code" = 200 ] || fail "a heartbeat got $code"
 code=$(curl -s -o /dev/null -w '%{http_code}' -X PUT -d '{"seq":' http://127.0.7.2:28782/pimentopost/instances/i-1)
 [ "$code" = 400 ] || fail "an invalid heartbeat got $code"
+# An odd entry of another writer harms no instance, and the other entries hold.
+nested=$(printf '[%.0s' $(seq 20000))
+for change in 's/127.0.7.8:1/127.0.7.8:99999/' 's/"slots":2/"slots":99999999999999999999999/' \
+  's/"slots":2/"slots":1e400/' 's/"seq":1/"seq":9223372036854775807/' "s/\"slots\":2/\"slots\":$nested/" \
+  's/"zone":"z1"/"zone":7/' 's/"state":"ready"/"state":"odd"/' 's/"service":"s",//'; do
+  echo "$heartbeat" | sed -e "$change" >"$dir/odd"
+  for i in 1 2 3; do
+    code=$(curl -s -o /dev/null -w '%{http_code}' -X PUT --data-binary @"$dir/odd" http://127.0.7.$i:28782/pimentopost/instances/odd)
+    [ "$code" = 400 ] || fail "an odd heartbeat got $code: $(head -c 200 "$dir/odd")"
+  done
+done
+kill -0 "$pid1" && kill -0 "$pid2" && kill -0 "$pid3" || fail "an instance ended after odd heartbeats"
+code=$(curl -s -o /dev/null -w '%{http_code}' -X PUT -d "$heartbeat" http://127.0.7.2:28782/pimentopost/instances/i-1)
+[ "$code" = 200 ] || fail "a heartbeat after odd ones got $code"
 code=$(curl -s -o /dev/null -w '%{http_code}' -X DELETE http://127.0.7.3:28782/pimentopost/instances/i-1)
 [ "$code" = 200 ] || fail "a deregistration got $code"
 curl -s http://127.0.7.1:28782/metrics >/dev/null || fail "no metrics"
