--- a/test/soak/crash.c
+++ b/test/soak/crash.c
@@ -41,6 +41,9 @@
 #ifdef __x86_64__
   put (STR ("at "), (uintptr_t)u->uc_mcontext.gregs[REG_RIP]);
   stack = (uintptr_t)u->uc_mcontext.gregs[REG_RSP];
+#elif defined __aarch64__
+  put (STR ("at "), (uintptr_t)u->uc_mcontext.pc);
+  stack = (uintptr_t)u->uc_mcontext.sp;
 #else
   (void)u;
 #endif
--- a/test/soak/db.c
+++ b/test/soak/db.c
@@ -175,6 +175,12 @@
   s->term++;
   s->start[s->term] = n;
   s->head = n;
+  if (w->sync_replicas && s->nacked && s->acked[s->nacked - 1].pos.number > n)
+    finding (w, "LOST",
+             "%s leads term %lld of %s with %lld commits, %lld were "
+             "acknowledged",
+             d->id, (long long)s->term, s->name, (long long)n,
+             (long long)s->acked[s->nacked - 1].pos.number);
   while (s->nacked && s->acked[s->nacked - 1].pos.number > n)
     s->nacked--;
   d->primary = true;
--- a/test/soak/dbconn.c
+++ b/test/soak/dbconn.c
@@ -136,6 +136,14 @@
     }
 }
 
+/* Whether the answer of C waits for a replica to receive its commit.  A
+   primary that was replaced meanwhile never answers.  */
+static bool
+awaits_replica (const dbconn_t *c)
+{
+  return c->commit.number && !service_replicated (c->db->service, c->commit);
+}
+
 /* With lossy_until, some answers are dropped and their connections closed.  */
 void
 dbconn_send_due (db_t *d, msec_t now)
@@ -145,9 +153,10 @@
   for (dbconn_t *next, *c = d->conns; c; c = next)
     {
       next = c->next;
-      if (c->due == 0 || c->due > now)
+      if (c->due == 0 || c->due > now || awaits_replica (c))
         continue;
       c->due = 0;
+      c->commit = (log_pos_t){ 0 };
       if (d->lossy_until > now && rand_below (w, 8) == 0)
         {
           stream_close (c->stream);
--- a/test/soak/dbconn.h
+++ b/test/soak/dbconn.h
@@ -25,6 +25,7 @@
   } prepared[PREPARED];
   msec_t due; /* when the answer is sent; 0: none is pending; -1: send it and
                  close */
+  log_pos_t commit; /* that the answer waits for; number 0: none */
   buf_t answer;
 } dbconn_t;
 
--- a/test/soak/dbrun.c
+++ b/test/soak/dbrun.c
@@ -158,6 +158,8 @@
   if (t->refused)
     finding (w, "REFUSED", "%s was refused and is committed", id);
   t->commit = (log_pos_t){ c->db->term, db_commit (c->db) };
+  if (w->sync_replicas)
+    c->commit = t->commit;
 }
 
 /* ---- statements ---- */
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -296,6 +296,9 @@
     case 'c':
       a->world.sessions = (int)n;
       break;
+    case 'r':
+      a->world.sync_replicas = (int)n;
+      break;
     case 'p':
       a->place = (int)n;
       break;
@@ -305,6 +308,7 @@
     case ARGP_KEY_END:
       if (a->world.bin[0] == '\0' || a->world.entries < 1
           || a->world.entries > ENTRIES_MAX || a->world.sessions < 1
+          || a->world.sync_replicas < 0 || a->world.sync_replicas > 1
           || a->ms < START_TIME + FINAL_QUIET || a->place < 0
           || a->place > 250)
         argp_usage (state);
@@ -320,6 +324,8 @@
         { "seconds", 't', "S", 0, "length of the run, 20 or more", 0 },
         { "entries", 'e', "N", 0, "entry instances, 1 to 48", 0 },
         { "sessions", 'c', "N", 0, "client sessions", 0 },
+        { "sync-replicas", 'r', "N", 0,
+          "replicas that have to receive each commit, 0 or 1", 0 },
         { "place", 'p', "N", 0,
           "address range 127.77.N.*, for concurrent runs", 0 },
         { 0 } };
--- a/test/soak/operator.c
+++ b/test/soak/operator.c
@@ -61,8 +61,9 @@
              (long long)version);
   buf_adds (&b, STR ("],\"services\":["));
   for (int i = 0; i < SERVICES; i++)
-    buf_fmt (&b, "%s{\"name\":\"svc%d\",\"max-conns\":30,\"sync-replicas\":0}",
-             i ? "," : "", i);
+    buf_fmt (&b,
+             "%s{\"name\":\"svc%d\",\"max-conns\":30,\"sync-replicas\":%d}",
+             i ? "," : "", i, w->sync_replicas);
   buf_adds (&b, STR ("],\"limits\":{\"tx-idle-ms\":3000}}"));
   buf_add (&b, "", 1);
   return b.p;
--- a/test/soak/position.c
+++ b/test/soak/position.c
@@ -55,6 +55,12 @@
 {
   log_pos_t last = service_acked (s, now);
 
+  if (s->world->sync_replicas && !service_kept (s, pos))
+    finding (
+        s->world, "LOST",
+        "commit %lld.%lld of %s was acknowledged, term %lld is without it",
+        (long long)pos.term, (long long)pos.number, s->name,
+        (long long)s->term);
   if (!service_kept (s, pos)
       || (pos.term <= last.term && pos.number <= last.number))
     return;
@@ -85,6 +91,19 @@
   return d->number = n;
 }
 
+bool
+service_replicated (service_t *s, log_pos_t pos)
+{
+  for (int i = 0; i < DBS; i++)
+    {
+      db_t *d = &s->db[i];
+      if (d->up && !db_is_primary (d) && db_received (d) >= pos.number
+          && d->term == pos.term)
+        return true;
+    }
+  return false;
+}
+
 int64_t
 db_commit (db_t *d)
 {
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -235,6 +235,8 @@
 int64_t db_received (db_t *d);
 /* db_commit: the number of a new commit.  */
 int64_t db_commit (db_t *d);
+/* service_replicated: a replica has the commit POS of the present term.  */
+bool service_replicated (service_t *s, log_pos_t pos);
 /* position_holds: true when a log of TERM with NUMBER commits has all commits
    up to POS, other than those that a promotion rolled back.  */
 bool position_holds (const service_t *s, int64_t term, int64_t number,
@@ -296,6 +298,7 @@
   char net[16]; /* first three numbers of the addresses */
   int entries;
   int sessions;
+  int sync_replicas; /* that have to receive each commit, 0 or 1 */
   msec_t now, begun, end, faults_end;
   proc_t control[CONTROLS];
   proc_t entry[ENTRIES_MAX];
