--- a/include/proxy.h
+++ b/include/proxy.h
@@ -335,7 +335,8 @@
   str_t peers_listen; /* address bound for them; empty: no forwarding */
   str_t *control;     /* RPC addresses of control instances, from settings */
   size_t ncontrol;
-  msec_t grace;           /* from SIGTERM to the exit of the process */
+  msec_t grace;           /* from SIGTERM to the exit of the process; 0:
+                             unknown */
   msec_t startup_timeout; /* from accept to a client's start-up message */
   const client_codec_t *client;
   const db_codec_t *db;
--- a/lib/proxy/stop.c
+++ b/lib/proxy/stop.c
@@ -1,9 +1,20 @@
 #include "local.h"
 
+enum
+{
+  GRACE_DEFAULT = 6000 /* ms, when the settings name no grace period */
+};
+
+static msec_t
+grace (const proxy_t *p)
+{
+  return p->conf.grace > 0 ? p->conf.grace : GRACE_DEFAULT;
+}
+
 static msec_t
 leave_at (const proxy_t *p)
 {
-  return p->stop_at + p->conf.grace - STOP_MARGIN;
+  return p->stop_at + grace (p) - STOP_MARGIN;
 }
 
 stop_phase_t
@@ -13,7 +24,7 @@
     return STOP_NONE;
   if (now >= leave_at (p))
     return STOP_LEAVE;
-  if (now - p->stop_at >= p->conf.grace / 2)
+  if (now - p->stop_at >= grace (p) / 2)
     return STOP_REFUSE;
   return now - p->stop_at >= DRAIN_DELAY ? STOP_FINISH : STOP_ACCEPT;
 }
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -706,6 +706,21 @@
 }
 END_TEST
 
+/* Guards against a stop that cuts all sessions off at once when the settings
+   name no grace period.  */
+START_TEST (stop_without_a_grace_period_drains)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = session_in_tx (s);
+
+  s->proxy->conf.grace = 0;
+  proxy_stop (s->proxy);
+  stage_run (s, 1000, NULL, NULL);
+  ASK (c, "QUERY r1 READ 1\r\n", "READY T");
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a COMMIT that is accepted although its answer may come only
    after the end of the process.  */
 START_TEST (stop_refuses_a_commit_without_time)
@@ -1041,6 +1056,7 @@
   tcase_add_test (t, stop_lets_open_transaction_finish);
   tcase_add_test (t, stop_closes_a_session_after_its_answer);
   tcase_add_test (t, stop_refuses_late_statements_of_transactions);
+  tcase_add_test (t, stop_without_a_grace_period_drains);
   tcase_add_test (t, stop_refuses_a_commit_without_time);
   tcase_add_test (t, stop_answers_what_is_in_progress);
   tcase_add_test (t, stop_closes_a_busy_session_with_an_answer);
