test: the bounds of prepared statements

A session's 1,024 statements (MALFORMED beyond) and those of a connection, after which it is reset, had no test.

--- a/test/stage.c
+++ b/test/stage.c
@@ -1,5 +1,7 @@
 #include "stage.h"
 
+#include "../lib/proxy/local.h"
+
 #include <apr_general.h>
 #include <arpa/inet.h>
 #include <errno.h>
@@ -41,7 +43,7 @@
   {
     char name[16];
     char key[768];
-  } prepared[8];
+  } prepared[LINK_PREPARED_MAX + 1];
   int nprepared;
 } dbconn_t;
 
@@ -100,7 +102,7 @@
   const char *mode = name + strcspn (name, " ") + 1;
   const char *shape = mode + strcspn (mode, " ") + 1;
 
-  ck_assert_int_lt (c->nprepared, 8);
+  ck_assert_int_le (c->nprepared, LINK_PREPARED_MAX);
   ck_assert (strncmp (mode, "READ ", 5) == 0
              || strncmp (mode, "WRITE ", 6) == 0);
   snprintf (c->prepared[c->nprepared].name, sizeof c->prepared->name, "%.*s",
@@ -174,6 +176,7 @@
     {
       c->values[0] = '\0';
       c->nprepared = 0;
+      d->resets++;
     }
   else if (is_kind (text, "PREPARE"))
     prepare (c, text);
--- a/test/stage.h
+++ b/test/stage.h
@@ -37,6 +37,7 @@
   int64_t number;
   int64_t seq;
   int conns;
+  int resets;
   void *list;          /* of connections */
   char log[STAGE_LOG]; /* statements received, one a line */
 } stage_db_t;
--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -994,6 +994,38 @@
 }
 END_TEST
 
+/* Guards against statements that pile up on a connection without a bound, and
+   against one that is unknown after the connection was reset for it; and
+   against a session that prepares without a bound.  */
+START_TEST (many_prepared_statements_are_bounded)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *a = stage_session (s, "lead");
+  stage_client_t *b = stage_session (s, "lead");
+  char text[64];
+
+  for (int i = 0; i < PREPARED_MAX; i++)
+    {
+      snprintf (text, sizeof text, "QUERY p PREPARE s%d READ q%d\r\n", i, i);
+      ASK (a, text, "COMPLETE -");
+      snprintf (text, sizeof text, "QUERY e EXECUTE s%d 5\r\n", i);
+      ASK (a, text, "COMPLETE sig-db0");
+    }
+  ASK (a, "QUERY p PREPARE more READ q\r\n", "ERROR MALFORMED");
+  ck_assert_int_eq (s->db[0].resets, 0);
+  ASK (b, "QUERY p PREPARE s0 READ other\r\n", "COMPLETE -");
+  ASK (b, "QUERY e EXECUTE s0 5\r\n", "COMPLETE sig-db0");
+  ck_assert_int_eq (s->db[0].resets, 1);
+  ASK (a, "QUERY e EXECUTE s7 5\r\n", "COMPLETE sig-db0");
+  for (link_t *k = service_get (s->proxy, STR ("svc"))->leader->links; k;
+       k = k->next)
+    k->prepared.bytes = LINK_PREPARED_BYTES + 1;
+  ASK (a, "QUERY e EXECUTE s8 5\r\n", "COMPLETE sig-db0");
+  ck_assert_int_eq (s->db[0].resets, 2);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a client that exhausts the memory of the process with
    settings and prepared statements.  */
 START_TEST (large_session_state_is_refused)
@@ -1070,6 +1102,7 @@
   tcase_add_test (t, long_service_is_no_other_service);
   tcase_add_test (t, prepared_shape_may_have_several_words);
   tcase_add_test (t, prepared_name_and_shape_may_be_long);
+  tcase_add_test (t, many_prepared_statements_are_bounded);
   tcase_add_test (t, large_session_state_is_refused);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
