--- a/lib/proxy/send.c
+++ b/lib/proxy/send.c
@@ -4,19 +4,34 @@
 
 /* Prepares a connection for a statement and sends the statement.  */
 
-/* Whether K has a setting that S lacks, or has many statements prepared.  */
 static bool
-needs_reset (const link_t *k, const session_t *s)
+has_other_settings (const link_t *k, const session_t *s)
 {
-  if (k->in_tx)
-    return false;
   for (int i = 0; i < k->values.n; i++)
     if (values_get (&s->values, k->values.at[i].name) == NULL)
       return true;
+  return false;
+}
+
+static bool
+has_many_prepared (const link_t *k)
+{
   return k->prepared.n >= LINK_PREPARED_MAX
          || k->prepared.bytes > LINK_PREPARED_BYTES;
 }
 
+static bool
+needs_reset (const link_t *k, const session_t *s)
+{
+  if (k->in_tx)
+    return false;
+  if (!has_many_prepared (k))
+    return has_other_settings (k, s);
+  log_event (EV_LINK_RESET, "database=%s prepared=%d bytes=%zu", k->db->id,
+             k->prepared.n, k->prepared.bytes);
+  return true;
+}
+
 static void
 send_values (proxy_t *p, link_t *k, session_t *s)
 {
