control: a roster sent into a silent connection is sent again

Cause: nothing answers MSG_ROSTER, so an instance did not learn that its connection to the leader had gone silent, and its rosters were lost for good. After a roster it now sends a hello request, at most every 0.5 s; without an answer within 1 s the connection is closed, as for other requests, and the whole roster follows over a new one.

Ruled out: an answer to each roster, which costs a message for each change.

--- a/lib/cell/local.h
+++ b/lib/cell/local.h
@@ -17,6 +17,7 @@
   PEER_TIMEOUT = 1000,    /* ms until an unanswered request closes the
                              connection */
   PEER_OUT_MAX = 4 << 20, /* bytes queued for one instance */
+  CHECK_INTERVAL = 500,   /* ms between checks of a connection, at least */
   HELLO_INTERVAL = 200,   /* ms between hello requests to the others */
   HELLO_MAX_AGE = 1500,   /* ms that a response is valid */
   ROSTER_INTERVAL = 3000, /* ms between whole rosters to the others */
@@ -69,6 +70,8 @@
   msec_t request_at;   /* oldest request without a response, -1: none */
   int64_t roster_sent; /* revision of the roster sent over this connection,
                           -1: none */
+  bool unconfirmed;    /* a roster was sent after the last check */
+  msec_t checked_at;   /* last check of the connection */
   bool accepted;
   /* Of an entry instance: its last report, and what was sent since.  */
   bool is_entry;
@@ -263,6 +266,10 @@
 /* peers_send: REQUEST means that a response is due within PEER_TIMEOUT.  */
 void peers_send (cell_t *c, str_t address, msgtype_t type, const void *msg,
                  bool request);
+/* peers_check: sends R a request, at most every CHECK_INTERVAL, after messages
+   that get no answer of their own.  An open connection may deliver nothing
+   more; without the answer it is closed, and what was sent is sent again.  */
+void peers_check (cell_t *c, remote_t *r);
 void peers_reply (cell_t *c, remote_t *to, msgtype_t type, const void *msg);
 /* peers_expire: closes connections that did not open or answer in time.  */
 void peers_expire (cell_t *c);
--- a/lib/cell/peers.c
+++ b/lib/cell/peers.c
@@ -50,6 +50,7 @@
     r->cell->sender = NULL;
   r->stream = NULL;
   r->request_at = -1;
+  r->unconfirmed = false;
   r->roster_sent = r->endpoints_sent = -1;
   if (r->accepted)
     remote_free (r);
@@ -181,6 +182,22 @@
     r->request_at = c->now;
 }
 
+void
+peers_check (cell_t *c, remote_t *r)
+{
+  hello_t m = { .id = raft_id (c->raft),
+                .name = c->conf.name,
+                .address = c->conf.address,
+                .zone = c->conf.zone };
+
+  if (r->request_at >= 0 || c->now - r->checked_at < CHECK_INTERVAL)
+    return;
+  r->unconfirmed = false;
+  r->checked_at = r->request_at = c->now;
+  rpc_encode (stream_out (r->stream), MSG_HELLO, &m);
+  stream_flush (r->stream);
+}
+
 void
 peers_reply (cell_t *c, remote_t *to, msgtype_t type, const void *msg)
 {
--- a/lib/cell/update.c
+++ b/lib/cell/update.c
@@ -261,6 +261,7 @@
   rpc_encode (stream_out (r->stream), MSG_ROSTER, &m);
   stream_flush (r->stream);
   r->roster_sent = c->roster.revision;
+  r->unconfirmed = true;
   free (x);
 }
 
@@ -278,6 +279,8 @@
           = x->id == raft_id (c->raft) ? NULL : peers_connect (c, x->address);
       if (r && (r->roster_sent < c->roster.revision || direct_due (c, r)))
         send_roster (c, r);
+      if (r && r->unconfirmed)
+        peers_check (c, r);
     }
 }
 
--- a/test/test_cell.c
+++ b/test/test_cell.c
@@ -35,6 +35,7 @@
   relay_t *relay;
   stream_t *end[2];
   side_t side[2];
+  bool silent; /* stays open and delivers nothing */
 };
 
 struct relay
@@ -68,8 +69,11 @@
   link_t *k = s->link;
   buf_t *in = stream_in (k->end[s->at]);
 
-  buf_adds (stream_out (k->end[!s->at]), buf_str (in));
-  stream_flush (k->end[!s->at]);
+  if (!k->silent)
+    {
+      buf_adds (stream_out (k->end[!s->at]), buf_str (in));
+      stream_flush (k->end[!s->at]);
+    }
   buf_take (in, buf_len (in));
 }
 
@@ -127,6 +131,14 @@
     }
 }
 
+/* The open connections deliver nothing more; new ones work.  */
+static void
+relay_silence (relay_t *r)
+{
+  for (link_t *k = r->links; k; k = k->next)
+    k->silent = true;
+}
+
 /* ---- instances and databases ---- */
 
 typedef struct fixture fixture_t;
@@ -446,6 +458,30 @@
 }
 END_TEST
 
+/* Guards against a takeover without a failed primary: the roster update that
+   lists the new primary was lost on a connection between control instances
+   that had gone silent, and no answer to it was expected.  Found by the soak,
+   seed 637.  */
+START_TEST (roster_sent_into_silence_is_sent_again)
+{
+  fixture_t *w = fixture_new ();
+  int l = leader (w);
+
+  start_databases (w, l);
+  w->db[1].receiver = (l + 1) % 3;
+  run (w, 2000, NULL);
+  ck_assert_int_eq (w->promotes, 0);
+  relay_silence (&w->relay[l]);
+  w->db[0].primary = false;
+  w->db[1].primary = true;
+  w->heartbeat_at = 0;
+  run (w, 5000, NULL);
+  ck_assert_int_eq (leader (w), l);
+  ck_assert_int_eq (w->promotes, 0);
+  fixture_free (w);
+}
+END_TEST
+
 static bool
 has_promoted (fixture_t *w)
 {
@@ -774,6 +810,7 @@
 
   tcase_set_timeout (t, 60);
   tcase_add_test (t, lost_roster_update_is_sent_again);
+  tcase_add_test (t, roster_sent_into_silence_is_sent_again);
   tcase_add_test (t, failed_primary_is_replaced_by_the_most_advanced);
   tcase_add_test (t, planned_replacement_keeps_late_commits);
   tcase_add_test (t, odd_service_has_no_takeover);
