test: stand-ins listen below the ports of outgoing connections

The stage took ports that the kernel offers (32768 to 60999 here), closed them and listened again later; the kernel gives the same ports to outgoing connections. Who held 33109 was not seen. Ports from 12000 to 31999 are taken now.

--- a/test/stage.c
+++ b/test/stage.c
@@ -13,17 +13,32 @@
 
 /* ---- listening ---- */
 
+enum
+{
+  /* Below the ports that the kernel gives to outgoing connections: such a
+     connection could hold a port that a test has found free and listens on
+     later.  */
+  PORT_FIRST = 12000,
+  PORT_COUNT = 20000,
+  LISTEN_ATTEMPTS = 50
+};
+
 int
 stage_listen (char *out, size_t size)
 {
+  static rng_t rng;
   err_t e = { 0 };
-  struct sockaddr_in sa = { 0 };
-  socklen_t n = sizeof sa;
-  int fd = rpc_listen (STR ("127.0.0.1:0"), &e);
+  int fd = -1;
 
-  ck_assert_int_ge (fd, 0);
-  getsockname (fd, (struct sockaddr *)&sa, &n);
-  snprintf (out, size, "127.0.0.1:%d", ntohs (sa.sin_port));
+  if (rng.seed == 0)
+    rng_init (&rng, rng_system_seed ());
+  for (int i = 0; fd < 0 && i < LISTEN_ATTEMPTS; i++)
+    {
+      int port = PORT_FIRST + (int)rng_below (&rng, PORT_COUNT);
+      snprintf (out, size, "127.0.0.1:%d", port);
+      fd = rpc_listen (str_of (out), &e);
+    }
+  ck_assert_msg (fd >= 0, "%s: %s", e.subject, e.detail);
   return fd;
 }
 
