--- a/test/stage.h
+++ b/test/stage.h
@@ -103,6 +103,9 @@
 void stage_send (stage_client_t *c, const char *text);
 /* stage_request: sends TEXT and waits until the response contains WANT.  */
 bool stage_request (stage_client_t *c, const char *text, const char *want);
+/* ASK: stage_request that has to get WANT.  */
+#define ASK(c, text, want)                                                    \
+  ck_assert_msg (stage_request (c, text, want), "received: %s", (c)->received)
 /* stage_session: a client with an open session.  */
 stage_client_t *stage_session (stage_t *s, const char *host);
 /* stage_count: how often TEXT occurs in the statements that D received.  */
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -7,9 +7,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define ASK(c, text, want)                                                    \
-  ck_assert_msg (stage_request (c, text, want), "received: %s", (c)->received)
-
 /* ---- choice of owners ---- */
 
 /* Guards against forwarding, which costs a hop, where each instance can have
