rpc, proxy: records of tenants and their keys

Two customers ask for tenants: a key of the client names the caller, databases are told the tenant, and quotas hold over all instances. This is the interface that the parts share: records of the configuration, the tenant of a session and of a connection to a database. Nothing sets them yet, so behaviour is unchanged (test_proxy, test_platform, test_fleet, test_forward pass).

--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,7 @@
 
 # The programs of the users' platform contain no PostgreSQL data plane: they
 # link only these libraries, and neither libpq nor libpg_query.
-PLATFORM_LIBSRC = $(wildcard $(addsuffix /*.c,$(addprefix lib/,base cell conf fleet httpd loop proxy raft rpc)))
+PLATFORM_LIBSRC = $(wildcard $(addsuffix /*.c,$(addprefix lib/,balance base cell conf fleet httpd loop proxy quota raft rpc)))
 PLATFORM_LIBOBJ = $(PLATFORM_LIBSRC:%.c=$(B)/%.o)
 PLATFORM_OBJ = $(patsubst %.c,$(B)/%.o,$(filter-out platform/promote.c platform/api.c,$(wildcard platform/*.c)))
 PLATFORM_LIBS = -Wl,--as-needed $(PLATFORM_PKG_LIBS) -lmsgpackc -lhttp_parser -pthread -lm $(EXTRA_LDFLAGS)
--- a/include/proxy.h
+++ b/include/proxy.h
@@ -56,7 +56,8 @@
   FAIL_NOSTMT,
   FAIL_MALFORMED,
   FAIL_NODB,
-  FAIL_OTHER /* an error code unknown to the codec; see the text */
+  FAIL_NOAUTH, /* the caller's key is unknown or was withdrawn */
+  FAIL_OTHER   /* an error code unknown to the codec; see the text */
 } fail_t;
 
 const char *fail_name (fail_t f);
--- a/include/rpc.h
+++ b/include/rpc.h
@@ -386,6 +386,7 @@
   int64_t timeout;  /* ms, of one statement */
   int64_t target;   /* ms, target latency of one operation */
   int64_t priority; /* 0 is the highest */
+  bool anonymous;   /* the caller isn't identified and belongs to no tenant */
 } route_entry_t;
 
 typedef struct
@@ -395,6 +396,23 @@
   int64_t sync_replicas;
 } service_entry_t;
 
+/* A caller of the fleet, with its quota over all instances.  */
+typedef struct
+{
+  str_t name;
+  int64_t priority; /* 0 is the highest */
+  int64_t rate;     /* operations a second; 0: no quota */
+  int64_t burst;    /* operations beyond that at once */
+} tenant_entry_t;
+
+/* A key is a secret: it occurs in no log, metric or error text, and is sent
+   neither to a database nor with a forwarded session.  */
+typedef struct
+{
+  str_t key;
+  int64_t tenant; /* index of its tenant in setup_t.tenants */
+} api_key_t;
+
 /* The configuration of a fleet in typed form.  */
 typedef struct
 {
@@ -402,6 +420,9 @@
   int64_t tx_idle; /* ms that a transaction may be idle */
   list_t routes;   /* route_entry_t */
   list_t services; /* service_entry_t */
+  bool tenanted;   /* callers of routes that aren't anonymous need a key */
+  list_t tenants;  /* tenant_entry_t */
+  list_t keys;     /* api_key_t */
 } setup_t;
 
 /* State of one backend server, from its last heartbeat.  */
--- a/lib/proxy/fail.c
+++ b/lib/proxy/fail.c
@@ -16,6 +16,7 @@
                                       "unknown-statement",
                                       "malformed",
                                       "unknown-database",
+                                      "unknown-key",
                                       "other" };
 
   return name[f];
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -74,6 +74,7 @@
 };
 
 typedef struct db db_t;
+typedef struct tenant tenant_t;
 typedef struct service service_t;
 typedef struct session session_t;
 typedef struct link link_t;
@@ -125,10 +126,23 @@
   LINK_BUSY
 } link_state_t;
 
+/* A tenant of the configuration; lives as long as the process, since sessions
+   and connections refer to it.  */
+struct tenant
+{
+  tenant_t *next; /* in the proxy's list */
+  str_t name;
+  int64_t rate;  /* operations a second over all instances; 0: no quota */
+  int64_t burst; /* operations beyond that at once */
+  int64_t setup_version; /* last configuration that contains it */
+};
+
 struct link
 {
   link_t *next; /* in the database's list */
   db_t *db;
+  tenant_t *tenant; /* named in its start-up message; only statements of its
+                       sessions run on it; NULL: of no tenant */
   stream_t *stream;
   link_state_t state;
   session_t *session;      /* NULL: idle, or its session has closed */
@@ -262,6 +276,7 @@
   stream_t *stream;
   str_t host; /* database name that the client asked for; empty before that;
                  on the heap */
+  tenant_t *tenant;   /* NULL: the route is anonymous or there are none */
   service_t *service; /* of the current transaction */
   tx_t tx;
   bool started;       /* its start-up message was accepted */
@@ -352,6 +367,8 @@
                                 control were overdue; 0: none */
   service_t *services;
   apr_hash_t *service_by_name;
+  tenant_t *tenants;
+  apr_hash_t *tenant_by_name;
   link_t *closed_links; /* closed, freed at the next turn */
   watcher_t watch;
   apr_pool_t *setup_pool;
@@ -391,6 +408,15 @@
 void db_answered (db_t *d, msec_t now);
 void db_failed (proxy_t *p, db_t *d, msec_t now);
 
+/* tenant.c */
+/* tenant_get: the tenant NAME, created when it is new.  */
+tenant_t *tenant_get (proxy_t *p, str_t name);
+/* tenant_find: the tenant NAME if the configuration in force has it, or
+   NULL.  */
+tenant_t *tenant_find (const proxy_t *p, str_t name);
+/* tenants_update: follows a new configuration.  */
+void tenants_update (proxy_t *p);
+
 /* link.c */
 bool link_open (proxy_t *p, db_t *d);
 /* link_acquire: takes an idle connection to D for S, preferably one with the
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -58,6 +58,7 @@
   p->loop = l;
   p->conf = *c;
   p->service_by_name = apr_hash_make (pool);
+  p->tenant_by_name = apr_hash_make (pool);
   p->now = p->started = loop_now (l);
   p->stop_at = p->cut_off_at = -1;
   p->watch.has_leader_at = p->now;
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -234,7 +234,7 @@
     = { TEXT (route_entry_t, host),     TEXT (route_entry_t, service),
         INT (route_entry_t, freshness), INT (route_entry_t, max_age),
         INT (route_entry_t, timeout),   INT (route_entry_t, target),
-        INT (route_entry_t, priority) };
+        INT (route_entry_t, priority),  BOOL (route_entry_t, anonymous) };
 TABLE (route_entry);
 
 static const field_t service_entry_fields[]
@@ -242,10 +242,23 @@
         INT (service_entry_t, sync_replicas) };
 TABLE (service_entry);
 
+static const field_t tenant_entry_fields[]
+    = { TEXT (tenant_entry_t, name), INT (tenant_entry_t, priority),
+        INT (tenant_entry_t, rate), INT (tenant_entry_t, burst) };
+TABLE (tenant_entry);
+
+static const field_t api_key_fields[]
+    = { TEXT (api_key_t, key), INT (api_key_t, tenant) };
+TABLE (api_key);
+
 static const field_t setup_fields[]
-    = { INT (setup_t, version), INT (setup_t, tx_idle),
+    = { INT (setup_t, version),
+        INT (setup_t, tx_idle),
         LIST (setup_t, routes, route_entry),
-        LIST (setup_t, services, service_entry) };
+        LIST (setup_t, services, service_entry),
+        BOOL (setup_t, tenanted),
+        LIST (setup_t, tenants, tenant_entry),
+        LIST (setup_t, keys, api_key) };
 TABLE (setup);
 
 static const field_t backend_fields[]
