proxy: connections to databases belong to tenants

A database is told the tenant in the start-up message of a connection, so a connection can serve no other. 73 tenants and 24 databases are 1,752 pairs for 1,344 connections.

link_open takes the tenant, link_acquire takes only connections of the session's tenant. Placement knows the tenant's own connections; at the limit the least recently used idle connection of another tenant is closed. Two connections to a database are opened at once for different tenants, so that a rare tenant doesn't wait for another's opening; a quarter of the limit is out of reach of one tenant. With tenants an owner uses its whole share and keeps idle connections while there is room; nothing is opened in advance. Among the owners of a zone the tenant's hash picks the first, also at an instance that is itself an owner. Without tenants nothing changes.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -198,12 +198,22 @@
   bool leader;    /* believed to be the primary */
   bool same_zone; /* in this instance's availability zone */
   bool usable;    /* registered, not draining, not in backoff, not tried */
-  int idle;       /* unused connections */
-  int opening;
-  int open;
-  int limit; /* connections that this instance may open */
-  int busy;  /* connections that this instance has in use */
-  double ms; /* moving average of a statement's time; 0: unknown */
+  int idle;       /* unused connections of the statement's tenant */
+  int opening;    /* connections of all tenants that are being opened */
+  int open;       /* of all tenants */
+  int limit;      /* connections that this instance may open */
+  int busy;       /* connections that this instance has in use */
+  double ms;      /* moving average of a statement's time; 0: unknown */
+
+  /* The rest counts only where connections belong to tenants.  */
+  bool tenants;
+  int own_opening;   /* of OPENING, for the statement's tenant */
+  int own;           /* of OPEN */
+  int own_limit;     /* connections that one tenant may have */
+  int opening_limit; /* connections that may be opened at once */
+  /* ms since the last use of the connection that gives way to the statement's
+     tenant at the limit, -1: none does.  */
+  msec_t give_way;
 } candidate_t;
 
 typedef enum
--- a/lib/proxy/attempt.c
+++ b/lib/proxy/attempt.c
@@ -165,6 +165,24 @@
     link_run (p, k, s);
 }
 
+/* Opens a connection to D for the session's tenant.  At the limit another one
+   is closed first.  */
+static void
+open_for (session_t *s, const candidate_t *c, db_t *d)
+{
+  proxy_t *p = s->proxy;
+  link_t *k = c->open + c->opening < c->limit
+                  ? NULL
+                  : link_giving_way (d, s->tenant, p->now);
+
+  if (k)
+    {
+      link_close (p, k);
+      counter_add (p->gave_way, 1);
+    }
+  link_open (p, d, s->tenant);
+}
+
 /* Tries to place the statement once.  False when it has to wait.  */
 static bool
 try_place (session_t *s)
@@ -183,7 +201,7 @@
       return true;
     }
   if (at.kind == PLACE_OPEN)
-    link_open (p, db[at.at]);
+    open_for (s, &cand[at.at], db[at.at]);
   /* All databases were tried: try them again, since what they lacked, such as
      a position, changes soon.  */
   if (at.kind == PLACE_NONE && !s->req.needs_leader && s->req.ntried)
--- a/lib/proxy/candidates.c
+++ b/lib/proxy/candidates.c
@@ -33,26 +33,56 @@
                                    : 1;
 }
 
-/* Limit of connections from this instance to D: those wanted, and one more for
-   each that is pinned, up to the instance's share of half the database's
-   connections, or of three quarters for an owner.  The rest stays free for the
-   new connections after a power loss, while the database still counts the lost
-   ones.  */
+/* This instance's share of half the database's connections, or of three
+   quarters for an owner.  The rest stays free for the new connections after a
+   power loss, while the database still counts the lost ones.  */
 static int
-link_limit (proxy_t *p, service_t *v, const db_t *d)
+link_share (proxy_t *p, service_t *v)
 {
   bool own = service_has_owners (p, v);
   int share = (own ? v->connections * 3 / 4 : v->connections / 2)
               / service_sharers (p, v);
-  int need = wanted (p, v, d) + pinned (d);
+
+  return share < 2 ? 2 : share;
+}
+
+/* Those wanted, and one more for each that is pinned, up to the share.  Where
+   connections belong to tenants the whole share: an idle one saves its tenant
+   an opening.  */
+int
+link_limit (proxy_t *p, service_t *v, const db_t *d)
+{
+  int share = link_share (p, v);
 
   if (d->full_at && p->now - d->full_at < FULL_BACKOFF)
     return d->open + d->opening;
-  if (share < 2)
-    share = 2;
+  if (p->setup && p->setup->tenanted)
+    return share;
+  int need = wanted (p, v, d) + pinned (d);
   return need < share ? need : share;
 }
 
+/* Counts the connections to D of the tenant T.  A quarter of the limit is out
+   of reach of one tenant, whose transactions may hold all that it has.  */
+static void
+count_own (proxy_t *p, const db_t *d, const tenant_t *t, candidate_t *c)
+{
+  for (const link_t *k = d->links; k; k = k->next)
+    {
+      if (k->tenant != t)
+        continue;
+      c->own_opening += k->state == LINK_OPENING;
+      c->own += k->state != LINK_OPENING;
+      c->idle += k->state == LINK_IDLE;
+    }
+  if (!c->tenants)
+    return;
+  const link_t *k = link_giving_way (d, t, p->now);
+  c->own_limit = c->limit - (c->limit + 3) / 4;
+  c->opening_limit = OPENINGS_MAX;
+  c->give_way = k ? p->now - k->since : -1;
+}
+
 int
 candidates_list (proxy_t *p, session_t *s, candidate_t *out, db_t **db)
 {
@@ -64,7 +94,7 @@
     {
       bool leads = d == lead;
       db[n] = d;
-      out[n++] = (candidate_t){
+      out[n] = (candidate_t){
         .leader = leads,
         .same_zone = str_eq (str_of (d->zone), p->conf.zone),
         .usable
@@ -74,13 +104,14 @@
               || progress_may_have (&d->progress, s->req.need,
                                     statement_need_age (s), p->now))
           && (!candidate_tried (&s->req, d) || (leads && s->req.needs_leader)),
-        .idle = d->idle,
         .opening = d->opening,
         .open = d->open,
         .limit = link_limit (p, v, d),
         .busy = d->open - d->idle,
         .ms = d->ms,
+        .tenants = p->setup && p->setup->tenanted,
       };
+      count_own (p, d, s->tenant, &out[n++]);
     }
   return n;
 }
--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -79,9 +79,38 @@
   return n > 0 ? n : 1;
 }
 
+bool
+endpoint_is_own (const proxy_t *p, const endpoint_entry_t *x)
+{
+  return str_eq (str_of (x->address), p->conf.peers);
+}
+
+/* The first owner that isn't avoided in the order of T, by rendezvous hashing:
+   the tenants of an owner that is lost are divided among the others, and no
+   other tenant moves.  */
+static endpoint_entry_t *
+pick_for_tenant (proxy_t *p, service_t *v, const tenant_t *t)
+{
+  str_t address[OWNERS_MAX];
+  endpoint_entry_t *at[OWNERS_MAX];
+  int n = 0, first;
+
+  for (int i = 0; i < v->nowner; i++)
+    {
+      endpoint_entry_t *x = &p->endpoint[v->owner[i]];
+      if (x->avoid_until > p->now && !endpoint_is_own (p, x))
+        continue;
+      at[n] = x;
+      address[n++] = str_of (x->address);
+    }
+  return owners_pick (t->name, address, n, 1, &first) ? at[first] : NULL;
+}
+
 endpoint_entry_t *
-endpoint_pick_owner (proxy_t *p, service_t *v)
+endpoint_pick_owner (proxy_t *p, service_t *v, const tenant_t *t)
 {
+  if (t)
+    return pick_for_tenant (p, v, t);
   for (int i = 0; i < v->nowner; i++)
     {
       int at = v->owner[(v->next_owner + i) % v->nowner];
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -44,7 +44,11 @@
   if (r == NULL)
     return false;
   v = service_get (p, r->service);
-  return !service_may_connect (p, v) && endpoint_pick_owner (p, v) != NULL;
+  if (service_may_connect (p, v)
+      && (s->tenant == NULL || !service_has_owners (p, v)))
+    return false;
+  const endpoint_entry_t *x = endpoint_pick_owner (p, v, s->tenant);
+  return x && !endpoint_is_own (p, x);
 }
 
 /* Sends the session's state; the answers to it are counted and dropped.  */
@@ -83,7 +87,8 @@
   proxy_t *p = s->proxy;
   const route_entry_t *r = route_find (p, s->host);
   endpoint_entry_t *x
-      = r ? endpoint_pick_owner (p, service_get (p, r->service)) : NULL;
+      = r ? endpoint_pick_owner (p, service_get (p, r->service), s->tenant)
+          : NULL;
   forward_t *f = calloc (1, sizeof *f);
   err_t e = { 0 };
 
@@ -263,6 +268,20 @@
   forward_disconnected (s, err_name (e->code));
 }
 
+static bool
+is_first_owner (session_t *s, const char *address)
+{
+  proxy_t *p = s->proxy;
+  const route_entry_t *r = route_find (p, s->host);
+  service_t *v = r ? service_get (p, r->service) : NULL;
+
+  if (v == NULL)
+    return true;
+  service_may_connect (p, v); /* follows the endpoints */
+  const endpoint_entry_t *x = endpoint_pick_owner (p, v, s->tenant);
+  return x == NULL || strcmp (x->address, address) == 0;
+}
+
 void
 forward_expire (session_t *s, msec_t now)
 {
@@ -275,9 +294,11 @@
       forward_disconnected (s, "timeout");
       return;
     }
-  /* The session stops using a draining owner between transactions.  */
+  /* The session stops using a draining owner between transactions, and one
+     that isn't its tenant's first any more.  */
   if (!f->active && s->tx == TX_NONE
-      && !endpoint_listed (s->proxy, f->address))
+      && (!endpoint_listed (s->proxy, f->address)
+          || (s->tenant && !is_first_owner (s, f->address))))
     forward_end (s);
 }
 
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -30,7 +30,7 @@
 /* ---- opening and closing ---- */
 
 bool
-link_open (proxy_t *p, db_t *d)
+link_open (proxy_t *p, db_t *d, tenant_t *t)
 {
   err_t e = { 0 };
   link_t *k = calloc (1, sizeof *k);
@@ -38,6 +38,7 @@
   if (k == NULL)
     abort ();
   k->db = d;
+  k->tenant = t;
   k->since = p->now;
   k->stream = stream_dial (p->loop, str_of (d->address), ACK_TIMEOUT,
                            &link_ops, k, &e);
@@ -54,8 +55,8 @@
   d->opening++;
   counter_add (p->opened, 1);
   link_expect (k, STEP_START);
-  p->conf.db->startup (stream_out (k->stream), d->service->name, p->conf.name,
-                       str_of (d->id));
+  p->conf.db->startup (stream_out (k->stream), d->service->name,
+                       t ? t->name : p->conf.name, str_of (d->id));
   wake_at (p, p->now + CONNECT_TIMEOUT);
   return true;
 }
@@ -157,7 +158,7 @@
 
   for (link_t *k = d->links; k; k = k->next)
     {
-      if (k->state != LINK_IDLE)
+      if (k->state != LINK_IDLE || k->tenant != s->tenant)
         continue;
       if (best == NULL
           || (values_equal (&k->values, &s->values)
@@ -167,6 +168,7 @@
   if (best == NULL)
     return NULL;
   best->state = LINK_BUSY;
+  best->used = true;
   best->since = now;
   best->session = s;
   d->idle--;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -37,6 +37,12 @@
   IDLE_TIMEOUT_SURPLUS = 1000,
   /* each while the database refuses more.  */
   IDLE_TIMEOUT_FULL = 120,
+  /* A connection that was opened for a tenant and not used yet gives way to no
+     other tenant for this time.  */
+  UNUSED_TIME = 100,
+  /* Connections to one database that are opened at once for different tenants.
+     Each occupies one of its few slots.  */
+  OPENINGS_MAX = 2,
 
   WARM_INTERVAL = 30,  /* between connections opened in advance */
   BACKOFF_MIN = 100,   /* a failed database is avoided for this time, which */
@@ -154,6 +160,7 @@
   msec_t begin_sent; /* time at which STEP_BEGIN was sent */
   bool in_tx;
   bool closing;
+  bool used; /* a statement ran on it */
   values_t values;
   values_t prepared;      /* statement_key to its name on the connection */
   int64_t prepared_names; /* names given on the connection so far */
@@ -381,6 +388,7 @@
   atomic_bool ready;
   counter_t *retried;
   counter_t *opened;
+  counter_t *gave_way;
   counter_t *forwarded;
   counter_t *reads_replica;
   counter_t *reads_primary;
@@ -418,9 +426,10 @@
 void tenants_update (proxy_t *p);
 
 /* link.c */
-bool link_open (proxy_t *p, db_t *d);
-/* link_acquire: takes an idle connection to D for S, preferably one with the
-   session's settings; NULL when none is idle.  */
+/* link_open: opens a connection to D for the tenant T, or NULL for none.  */
+bool link_open (proxy_t *p, db_t *d, tenant_t *t);
+/* link_acquire: takes an idle connection of the session's tenant to D for S,
+   preferably one with the session's settings; NULL when none is idle.  */
 link_t *link_acquire (db_t *d, session_t *s, msec_t now);
 /* link_release: returns it to the idle ones, after a rollback of its open
    transaction.  */
@@ -449,6 +458,10 @@
 /* links_sweep: closes connections of S whose time is over.  */
 void links_sweep (proxy_t *p, service_t *s, msec_t now);
 void links_close_idle (proxy_t *p, db_t *d);
+/* link_giving_way: the idle connection to D, of another tenant than T, that is
+   closed when T needs one and D is at its limit: the least recently used.
+   NULL: none.  */
+link_t *link_giving_way (const db_t *d, const tenant_t *t, msec_t now);
 /* links_close_unused: closes idle connections to D that were last used before
    SINCE.  */
 void links_close_unused (proxy_t *p, db_t *d, msec_t since);
@@ -459,6 +472,9 @@
 /* candidates_list: stores the databases of the session's service in DB and
    their descriptions in OUT, at most CANDIDATES_MAX; returns their number.  */
 int candidates_list (proxy_t *p, session_t *s, candidate_t *out, db_t **db);
+/* link_limit: connections to D, a database of V, that this instance may have.
+ */
+int link_limit (proxy_t *p, service_t *v, const db_t *d);
 
 /* statement.c */
 void statement_start (session_t *s, const op_t *op);
@@ -514,10 +530,15 @@
 /* service_sharers: number of instances that open connections to V, at
    least 1.  */
 int service_sharers (proxy_t *p, service_t *v);
-/* endpoint_pick_owner: the next owner of V that isn't avoided, or NULL.
+/* endpoint_pick_owner: the next owner of V that isn't avoided, or NULL.  For a
+   tenant T the first such of an order of its own, so that the connections of T
+   are at one owner; it may be this instance.
    endpoint_avoid: avoids ADDRESS for a while.  endpoint_listed: whether
    control lists it.  */
-endpoint_entry_t *endpoint_pick_owner (proxy_t *p, service_t *v);
+endpoint_entry_t *endpoint_pick_owner (proxy_t *p, service_t *v,
+                                       const tenant_t *t);
+/* endpoint_is_own: whether X is this instance.  */
+bool endpoint_is_own (const proxy_t *p, const endpoint_entry_t *x);
 void endpoint_avoid (proxy_t *p, const char *address);
 bool endpoint_listed (const proxy_t *p, const char *address);
 
--- a/lib/proxy/metrics.c
+++ b/lib/proxy/metrics.c
@@ -18,6 +18,9 @@
                               "instance");
   p->opened = counter_get ("pimentopost_connections_opened_total",
                            "connections opened to databases");
+  p->gave_way = counter_get ("pimentopost_connections_gave_way_total",
+                             "idle connections closed to open one for "
+                             "another tenant");
   p->reads_replica = counter_get ("pimentopost_reads_replica_total",
                                   "reads served by replicas");
   p->reads_primary = counter_get ("pimentopost_reads_primary_total",
--- a/lib/proxy/pool.c
+++ b/lib/proxy/pool.c
@@ -29,6 +29,22 @@
     }
 }
 
+link_t *
+link_giving_way (const db_t *d, const tenant_t *t, msec_t now)
+{
+  link_t *best = NULL;
+
+  /* A full database may refuse what would be opened instead.  */
+  if (d->full_at && now - d->full_at < FULL_BACKOFF)
+    return NULL;
+  for (link_t *k = d->links; k; k = k->next)
+    if (k->state == LINK_IDLE && k->tenant != t
+        && (k->used || now - k->since >= UNUSED_TIME)
+        && (best == NULL || k->since < best->since))
+      best = k;
+  return best;
+}
+
 /* Whether S is in the configuration and its limit allows a connection for each
    instance that opens connections to it.  */
 static bool
@@ -53,17 +69,34 @@
 void
 links_warm (proxy_t *p, msec_t now)
 {
+  /* A connection of no tenant would serve public routes only.  */
   if (p->stop_at >= 0 || p->cut_off_at >= 0
-      || now - p->warmed_at < WARM_INTERVAL)
+      || now - p->warmed_at < WARM_INTERVAL
+      || (p->setup && p->setup->tenanted))
     return;
   db_t *d = unconnected_db (p, now);
   if (d == NULL)
     return;
   p->warmed_at = now;
-  link_open (p, d);
+  link_open (p, d, NULL);
   wake_at (p, now + WARM_INTERVAL);
 }
 
+/* ms that an idle connection to D is kept.  */
+static msec_t
+idle_timeout (proxy_t *p, service_t *s, const db_t *d, msec_t now)
+{
+  if (d->full_at && now - d->full_at < FULL_TIME)
+    return IDLE_TIMEOUT_FULL;
+  if (p->setup && p->setup->tenanted)
+    return service_may_connect (p, s) && d->open <= link_limit (p, s, d)
+               ? IDLE_TIMEOUT_LAST
+               : IDLE_TIMEOUT_SURPLUS;
+  if (d->open > 1)
+    return IDLE_TIMEOUT_SURPLUS;
+  return one_per_instance (p, s) ? IDLE_TIMEOUT_LAST : IDLE_TIMEOUT;
+}
+
 void
 links_sweep (proxy_t *p, service_t *s, msec_t now)
 {
@@ -72,11 +105,7 @@
   for (db_t *d = s->dbs; d; d = d->next)
     for (link_t *k = d->links; k; k = next)
       {
-        bool full = d->full_at && now - d->full_at < FULL_TIME;
-        msec_t keep = full                      ? IDLE_TIMEOUT_FULL
-                      : d->open > 1             ? IDLE_TIMEOUT_SURPLUS
-                      : one_per_instance (p, s) ? IDLE_TIMEOUT_LAST
-                                                : IDLE_TIMEOUT;
+        msec_t keep = idle_timeout (p, s, d, now);
         next = k->next;
         if (k->state == LINK_OPENING && now - k->since >= CONNECT_TIMEOUT)
           {
--- a/test/stage.c
+++ b/test/stage.c
@@ -49,6 +49,7 @@
   struct dbconn *next;
   stage_db_t *db;
   stream_t *stream;
+  char name[32]; /* of its start-up message */
   bool started;
   bool tx;
   bool failed;
@@ -127,6 +128,15 @@
   c->nprepared++;
 }
 
+static void
+note_name (const dbconn_t *c, const char *text)
+{
+  size_t n = strlen (c->db->by_name);
+
+  snprintf (c->db->by_name + n, sizeof c->db->by_name - n, "%s %s\n", c->name,
+            text);
+}
+
 /* An EXECUTE is logged with the kind and shape in place of the name.  */
 static void
 log_statement (dbconn_t *c, const char *line)
@@ -136,6 +146,7 @@
   const char *key = text ? prepared_key (c, text + 1) : NULL;
   int before = key ? (int)(text - line) + (int)strlen (" EXECUTE ") : 0;
 
+  note_name (c, line);
   snprintf (c->db->log + n, sizeof c->db->log - n, "%c%.*s%s%s|%s\n",
             c->tx ? 'T' : 'I', before, line, key ? key : "",
             key ? line + before + strcspn (line + before, " ") : line,
@@ -310,6 +321,8 @@
 {
   if (strncmp (text, "STARTUP ", 8) == 0)
     {
+      ck_assert_int_eq (sscanf (text, "STARTUP %*s %31s", c->name), 1);
+      note_name (c, "STARTUP");
       if (c->db->ignore_startup)
         return true;
       if (c->db->full)
@@ -386,6 +399,16 @@
   return n;
 }
 
+int
+stage_conns (const stage_db_t *d, const char *name)
+{
+  int n = 0;
+
+  for (const dbconn_t *c = d->list; c; c = c->next)
+    n += strcmp (c->name, name) == 0;
+  return n;
+}
+
 /* ---- control ---- */
 
 typedef struct
@@ -417,7 +440,15 @@
       n++;
     }
   service_entry_t v = { STR ("svc"), s->connections, s->sync_replicas };
+  tenant_entry_t t[] = { { .name = STR ("a"), .rate = 100, .burst = 10 },
+                         { .name = STR ("b"), .rate = 100, .burst = 10 },
+                         { .name = STR ("c"), .rate = 10, .burst = 10 } };
+  api_key_t k[]
+      = { { STR ("key-a"), 0 }, { STR ("key-b"), 1 }, { STR ("key-c"), 2 } };
   setup_t m = { .version = s->version,
+                .tenanted = s->tenanted,
+                .tenants = { t, s->tenanted ? 3 : 0 },
+                .keys = { k, s->tenanted ? 3 : 0 },
                 .tx_idle = s->tx_idle,
                 .routes = { r, n },
                 .services = { &v, 1 } };
--- a/test/stage.h
+++ b/test/stage.h
@@ -40,6 +40,9 @@
   int resets;
   void *list;          /* of connections */
   char log[STAGE_LOG]; /* statements received, one a line */
+  /* The same after the name that its connection was opened with, and a line
+     "NAME STARTUP" for each connection.  */
+  char by_name[STAGE_LOG];
 } stage_db_t;
 
 typedef struct
@@ -74,6 +77,7 @@
   bool roster_complete;    /* the control instances run for long enough */
   bool roster_changes;     /* later rosters are marked as changes */
   int64_t roster_reported; /* roster that the last report names */
+  bool tenanted;           /* the configuration has the tenants a, b, c */
   int64_t tx_idle;         /* ms */
   int64_t timeout;         /* of statements, ms */
   bool extra_route;
@@ -111,6 +115,9 @@
 /* stage_count: how often TEXT occurs in the statements that D received.  */
 int stage_count (const stage_db_t *d, const char *text);
 
+/* stage_conns: open connections to D that were opened with NAME.  */
+int stage_conns (const stage_db_t *d, const char *name);
+
 /* stage_disconnect: database D closes all its connections.  */
 void stage_disconnect (stage_db_t *d);
 
--- /dev/null
+++ b/test/test_tenants_pool.c
@@ -0,0 +1,365 @@
+/* Connections to databases that belong to tenants.  */
+
+#include "../lib/proxy/local.h"
+#include "stage.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- on stage ---- */
+
+static bool
+is_ready (void *arg)
+{
+  return proxy_ready (((stage_t *)arg)->proxy);
+}
+
+/* A stage with the tenants a, b, c, whose instance may have LIMIT connections
+   to each database.  */
+static stage_t *
+tenants_new (int limit)
+{
+  stage_t *s = stage_new (false);
+
+  s->tenanted = true;
+  s->connections = 2 * limit;
+  s->version = 1;
+  ck_assert (stage_run (s, 3000, is_ready, s));
+  return s;
+}
+
+static stage_client_t *
+tenant_session (stage_t *s, const char *host, const char *tenant)
+{
+  stage_client_t *c = stage_client (s);
+  char text[64];
+
+  snprintf (text, sizeof text, "STARTUP %s key-%s\r\n", host, tenant);
+  ck_assert_msg (stage_request (c, text, "READY I -\r\n"), "got: %s",
+                 c->received);
+  /* The newest session is the first in the list.  */
+  s->proxy->sessions->tenant = tenant_get (s->proxy, str_of (tenant));
+  return c;
+}
+
+/* Requests have ids that begin with their tenant's name: no line of the log
+   names another.  */
+static void
+check_names (const stage_t *s)
+{
+  for (int i = 0; i < STAGE_DBS; i++)
+    for (const char *line = s->db[i].by_name; *line;
+         line = strchr (line, '\n') + 1)
+      {
+        const char *text = strchr (line, ' ') + 1;
+        if (strncmp (text, "STARTUP", 7) != 0 && text[0] != ' '
+            && text[0] != '-')
+          ck_assert_msg (line[0] == text[0], "%.40s", line);
+      }
+}
+
+static int
+conns (const stage_t *s, const char *name)
+{
+  int n = 0;
+
+  for (int i = 0; i < STAGE_DBS; i++)
+    n += stage_conns (&s->db[i], name);
+  return n;
+}
+
+/* Guards against a statement of one tenant on a connection that another
+   opened.  */
+START_TEST (connection_serves_one_tenant)
+{
+  stage_t *s = tenants_new (4);
+  stage_client_t *a = tenant_session (s, "own", "a");
+  stage_client_t *b = tenant_session (s, "own", "b");
+  stage_client_t *a2 = tenant_session (s, "lead", "a");
+
+  for (int i = 0; i < 5; i++)
+    {
+      ASK (a, "QUERY a1 READ 7\r\n", "READY I");
+      ASK (b, "QUERY b1 WRITE 7 x\r\n", "READY I");
+      ASK (a2, "QUERY a2 WRITE 7 x\r\n", "READY I");
+      ASK (b, "QUERY b2 READ 7\r\n", "READY I");
+    }
+  check_names (s);
+  ck_assert_int_ge (stage_conns (&s->db[0], "a"), 1);
+  ck_assert_int_ge (stage_conns (&s->db[0], "b"), 1);
+  ck_assert_int_eq (conns (s, "p1"), 0);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against settings and prepared statements of one tenant that another
+   meets, and against ones that are lost with a connection that gave way.  */
+START_TEST (settings_survive_a_change_of_tenant)
+{
+  stage_t *s = tenants_new (2);
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *b = tenant_session (s, "lead", "b");
+  stage_client_t *c = tenant_session (s, "lead", "c");
+
+  ASK (a, "QUERY a1 SET color red\r\n", "READY I");
+  ASK (a, "QUERY a2 PREPARE st WRITE shape-of-a\r\n", "READY I");
+  ASK (b, "QUERY b2 PREPARE st WRITE shape-of-b\r\n", "READY I");
+  for (int i = 0; i < 3; i++)
+    {
+      ASK (a, "QUERY a3 EXECUTE st 7 x\r\n", "COMPLETE sig-db0");
+      ASK (b, "QUERY b3 EXECUTE st 7 x\r\n", "COMPLETE sig-db0");
+      ASK (c, "QUERY c3 WRITE 7 x\r\n", "COMPLETE sig-db0");
+    }
+  check_names (s);
+  ck_assert_int_eq (
+      stage_count (&s->db[0], "Ia3 EXECUTE wshape-of-a 7 x|color red"), 3);
+  ck_assert_int_eq (stage_count (&s->db[0], "Ib3 EXECUTE wshape-of-b 7 x|\n"),
+                    3);
+  ck_assert_int_eq (stage_count (&s->db[0], "Ic3 WRITE 7 x|\n"), 3);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a limit that is exceeded, or a connection in frequent use
+   that gives way while others rest.  */
+START_TEST (least_recently_used_gives_way)
+{
+  stage_t *s = tenants_new (2);
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *b = tenant_session (s, "lead", "b");
+  stage_client_t *c = tenant_session (s, "lead", "c");
+
+  ASK (a, "QUERY a1 WRITE 7 x\r\n", "READY I");
+  stage_run (s, 20, NULL, NULL);
+  ASK (b, "QUERY b1 WRITE 7 x\r\n", "READY I");
+  stage_run (s, 20, NULL, NULL);
+  ASK (a, "QUERY a2 WRITE 7 x\r\n", "READY I");
+  stage_run (s, 20, NULL, NULL);
+  ASK (c, "QUERY c1 WRITE 7 x\r\n", "COMPLETE");
+  stage_run (s, 50, NULL, NULL);
+  ck_assert_int_eq (stage_conns (&s->db[0], "a"), 1);
+  ck_assert_int_eq (stage_conns (&s->db[0], "b"), 0);
+  ck_assert_int_eq (stage_conns (&s->db[0], "c"), 1);
+  check_names (s);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a transaction that loses its connection to another tenant,
+   and against a statement that is never placed after it has ended.  */
+START_TEST (pinned_connection_never_gives_way)
+{
+  stage_t *s = tenants_new (2);
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *b = tenant_session (s, "lead", "b");
+  stage_client_t *c = tenant_session (s, "lead", "c");
+
+  ASK (a, "QUERY a1 BEGIN\r\nQUERY a2 WRITE 7 x\r\n", "COMPLETE");
+  ASK (b, "QUERY b1 BEGIN\r\nQUERY b2 WRITE 7 x\r\n", "COMPLETE");
+  ASK (c, "QUERY c1 WRITE 7 x\r\n", "ERROR");
+  ck_assert_int_eq (stage_count (&s->db[0], "c1"), 0);
+  ck_assert_int_eq (stage_conns (&s->db[0], "a"), 1);
+  ck_assert_int_eq (stage_conns (&s->db[0], "b"), 1);
+  stage_send (c, "QUERY c2 WRITE 7 x\r\n");
+  stage_run (s, 50, NULL, NULL);
+  ASK (a, "QUERY a3 COMMIT\r\n", "COMPLETE");
+  ASK (b, "QUERY b3 WRITE 7 x\r\n", "READY T");
+  ASK (b, "QUERY b4 COMMIT\r\n", "COMPLETE");
+  stage_run (s, 100, NULL, NULL);
+  ck_assert_int_eq (stage_count (&s->db[0], "c2 WRITE"), 1);
+  check_names (s);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a tenant whose resting transactions hold every connection of
+   the instance.  */
+START_TEST (one_tenant_leaves_room_for_others)
+{
+  stage_t *s = tenants_new (4);
+  stage_client_t *a[5];
+
+  for (int i = 0; i < 5; i++)
+    {
+      a[i] = tenant_session (s, "lead", "a");
+      stage_send (a[i], "QUERY a1 BEGIN\r\nQUERY a2 WRITE 7 x\r\n");
+    }
+  stage_run (s, 200, NULL, NULL);
+  ck_assert_int_eq (stage_conns (&s->db[0], "a"), 3);
+  stage_client_t *b = tenant_session (s, "lead", "b");
+  msec_t began = msec_now ();
+  ASK (b, "QUERY b1 WRITE 7 x\r\n", "COMPLETE");
+  ck_assert_int_lt (msec_now () - began, 200);
+  check_names (s);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against the first statement of a rare tenant that waits until the
+   opening for another one has ended or failed.  */
+START_TEST (openings_of_tenants_do_not_wait_for_each_other)
+{
+  stage_t *s = tenants_new (4);
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *b = tenant_session (s, "lead", "b");
+
+  s->db[0].ignore_startup = true;
+  stage_send (a, "QUERY a1 WRITE 7 x\r\n");
+  stage_run (s, 50, NULL, NULL);
+  s->db[0].ignore_startup = false;
+  msec_t began = msec_now ();
+  ASK (b, "QUERY b1 WRITE 7 x\r\n", "COMPLETE");
+  ck_assert_int_lt (msec_now () - began, 200);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a full database that is asked again and again, or whose idle
+   connections are kept from the tenants of other instances, and against a
+   connection in use that is closed for one that would be refused.  */
+START_TEST (full_database_sheds_idle_connections)
+{
+  stage_t *s = tenants_new (4);
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *b = tenant_session (s, "lead", "b");
+
+  ASK (a, "QUERY a1 WRITE 7 x\r\n", "READY I");
+  s->db[0].full = true;
+  stage_send (b, "QUERY b1 WRITE 7 x\r\n");
+  stage_run (s, 400, NULL, NULL);
+  ck_assert_int_eq (stage_conns (&s->db[0], "a"), 0);
+  int asked = 0;
+  for (const char *at = s->db[0].by_name; (at = strstr (at, "b STARTUP"));
+       at++)
+    asked++;
+  ck_assert_int_ge (asked, 1);
+  ck_assert_int_le (asked, 400 / FULL_BACKOFF + 1);
+  s->db[0].full = false;
+  ASK (b, "QUERY b2 WRITE 7 x\r\n", "COMPLETE sig-db0");
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against connections of tenants that are closed although there is
+   room: each one costs 12 ms of a slot to open again.  */
+START_TEST (idle_connections_stay_while_there_is_room)
+{
+  stage_t *s = tenants_new (4);
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *b = tenant_session (s, "lead", "b");
+
+  ASK (a, "QUERY a1 WRITE 7 x\r\n", "READY I");
+  ASK (b, "QUERY b1 WRITE 7 x\r\n", "READY I");
+  stage_run (s, 2500, NULL, NULL);
+  ck_assert_int_eq (stage_conns (&s->db[0], "a"), 1);
+  ck_assert_int_eq (stage_conns (&s->db[0], "b"), 1);
+  stage_free (s);
+}
+END_TEST
+
+/* ---- the owner of a tenant ---- */
+
+enum
+{
+  INSTANCES = 6,
+  OWNERS = 3,
+  TENANTS = 73
+};
+
+typedef struct
+{
+  proxy_t proxy;
+  service_t service;
+  endpoint_entry_t endpoint[INSTANCES];
+} zone_t;
+
+/* The zone as the instance AT sees it, which lists the others in an order of
+   its own.  */
+static void
+zone_init (zone_t *z, int at)
+{
+  *z = (zone_t){ 0 };
+  z->proxy.endpoint = z->endpoint;
+  z->proxy.nendpoint = INSTANCES;
+  z->proxy.now = 1000;
+  z->proxy.conf.peers = STR ("none");
+  z->service.nowner = OWNERS;
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      int n = (i + at) % INSTANCES;
+      snprintf (z->endpoint[i].address, sizeof z->endpoint[i].address,
+                "10.0.0.%d:7", n);
+      if (n < OWNERS)
+        z->service.owner[n] = i;
+    }
+}
+
+static const char *
+owner_of (zone_t *z, int i)
+{
+  char name[16];
+
+  snprintf (name, sizeof name, "tenant-%d", i);
+  tenant_t t = { .name = str_of (name) };
+  const endpoint_entry_t *x = endpoint_pick_owner (&z->proxy, &z->service, &t);
+  return x ? x->address : "";
+}
+
+/* Guards against instances that send a tenant to different owners, each of
+   which then holds connections for it, and against a lost owner that moves the
+   tenants of others.  */
+START_TEST (instances_agree_on_the_owner_of_a_tenant)
+{
+  zone_t x, y;
+  int used[OWNERS] = { 0 }, moved = 0;
+
+  zone_init (&x, 0);
+  zone_init (&y, 4);
+  for (int i = 0; i < TENANTS; i++)
+    {
+      char before[NAME_SIZE];
+      strcpy (before, owner_of (&x, i));
+      ck_assert_str_eq (before, owner_of (&x, i));
+      ck_assert_str_eq (before, owner_of (&y, i));
+      used[before[strlen ("10.0.0.")] - '0']++;
+      y.endpoint[y.service.owner[1]].avoid_until = y.proxy.now + 1;
+      const char *after = owner_of (&y, i);
+      ck_assert_str_ne (after, "10.0.0.1:7");
+      moved += strcmp (before, after) != 0;
+      y.endpoint[y.service.owner[1]].avoid_until = 0;
+    }
+  ck_assert_int_eq (moved, used[1]);
+  for (int i = 0; i < OWNERS; i++)
+    ck_assert_int_ge (used[i], TENANTS / OWNERS / 2);
+  for (int i = 0; i < OWNERS; i++)
+    x.endpoint[x.service.owner[i]].avoid_until = x.proxy.now + 1;
+  ck_assert_str_eq (owner_of (&x, 0), "");
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("tenants_pool");
+  TCase *t = tcase_create ("stage");
+  TCase *d = tcase_create ("decisions");
+
+  tcase_set_timeout (t, 20);
+  tcase_add_test (t, connection_serves_one_tenant);
+  tcase_add_test (t, settings_survive_a_change_of_tenant);
+  tcase_add_test (t, least_recently_used_gives_way);
+  tcase_add_test (t, pinned_connection_never_gives_way);
+  tcase_add_test (t, one_tenant_leaves_room_for_others);
+  tcase_add_test (t, openings_of_tenants_do_not_wait_for_each_other);
+  tcase_add_test (t, full_database_sheds_idle_connections);
+  tcase_add_test (t, idle_connections_stay_while_there_is_room);
+  tcase_add_test (d, instances_agree_on_the_owner_of_a_tenant);
+  suite_add_tcase (s, t);
+  suite_add_tcase (s, d);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? 1 : 0;
+}
