proxy: owners of all services are assigned together

Each service picked its owners alone by rendezvous hashing.

owners_assign gives no instance more than its even share of services, rounded up; a service keeps its highest ranks among the addresses that have room.

Tests: owners_are_spread_evenly (owners_pick put three and more on one address), an_assignment_mostly_stays_when_an_instance_leaves.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -325,6 +325,24 @@
    OWNERS_MAX.  */
 int owners_pick (str_t service, const str_t *address, int n, int k, int *out);
 
+/* The owners of one service.  */
+typedef struct
+{
+  str_t service;
+  int want; /* number of owners, see owners_count */
+  int n;    /* found: WANT, at most the number of addresses and OWNERS_MAX */
+  int owner[OWNERS_MAX]; /* indexes of the addresses */
+} owner_role_t;
+
+/* owners_assign: picks the owners of NROLE services among the N addresses so
+   that none owns more services than its even share, rounded up: an owner sends
+   the statements of a zone through its own link.  Each service gets the
+   addresses with the highest ranks of owners_pick that still have room, so
+   most stay when an instance joins or leaves.  The result doesn't depend on
+   the order of ROLE or of the addresses.  */
+void owners_assign (owner_role_t *role, int nrole, const str_t *address,
+                    int n);
+
 /* ---- daemon ---- */
 
 typedef struct
--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -31,21 +31,60 @@
   return false;
 }
 
+/* Whether V is one of the services that owners are picked for together.  The
+   instances of a zone have to agree on them, so only those of the
+   configuration count.  */
+static bool
+is_assigned (const proxy_t *p, const service_t *v)
+{
+  return p->setup && v->setup_version == p->setup->version
+         && owners_needed (v->connections, p->entries);
+}
+
+static void
+set_owners (proxy_t *p, service_t *v, const owner_role_t *r)
+{
+  v->nowner = r->n;
+  v->is_owner = false;
+  for (int i = 0; i < r->n; i++)
+    {
+      v->owner[i] = r->owner[i];
+      v->is_owner
+          |= str_eq (str_of (p->endpoint[r->owner[i]].address), p->conf.peers);
+    }
+}
+
+/* Picks the owners of all services; those of V alone if the configuration
+   doesn't contain it.  */
 static void
 update_owners (proxy_t *p, service_t *v)
 {
   str_t *address = calloc (p->nendpoint + 1, sizeof *address);
+  int n = 0;
 
-  if (address == NULL)
+  for (const service_t *x = p->services; x; x = x->next)
+    n++;
+  owner_role_t *role = calloc ((size_t)n + 1, sizeof *role);
+  if (address == NULL || role == NULL)
     abort ();
   for (size_t i = 0; i < p->nendpoint; i++)
     address[i] = str_of (p->endpoint[i].address);
-  int k = owners_count (v->connections, p->entries, (int)p->nendpoint);
-  v->nowner = owners_pick (v->name, address, (int)p->nendpoint, k, v->owner);
-  v->owners_version = p->endpoints_version;
-  v->is_owner = false;
-  for (int i = 0; i < v->nowner; i++)
-    v->is_owner |= str_eq (address[v->owner[i]], p->conf.peers);
+  n = 0;
+  for (service_t *x = p->services; x; x = x->next)
+    if (is_assigned (p, v) ? is_assigned (p, x) : x == v)
+      role[n++] = (owner_role_t){
+        .service = x->name,
+        .want = owners_count (x->connections, p->entries, (int)p->nendpoint),
+      };
+  owners_assign (role, n, address, (int)p->nendpoint);
+  n = 0;
+  for (service_t *x = p->services; x; x = x->next)
+    if (is_assigned (p, v) ? is_assigned (p, x) : x == v)
+      {
+        set_owners (p, x, &role[n++]);
+        x->owners_version = p->endpoints_version;
+      }
+  free (role);
   free (address);
 }
 
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -296,6 +296,7 @@
       v->sync_replicas = (int)x->sync_replicas;
       v->setup_version = n->version;
     }
+  p->endpoints_version++; /* owners are picked for all services together */
   tenants_update (p);
   log_event (EV_SETUP, "version=%lld routes=%zu", (long long)n->version,
              n->routes.n);
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -362,7 +362,8 @@
   /* Instances of this zone that run statements for others.  */
   endpoint_entry_t *endpoint;
   size_t nendpoint;
-  int64_t endpoints_version; /* counts changes of the endpoints */
+  int64_t endpoints_version; /* counts changes of the endpoints and of the
+                                configuration */
   msec_t owner_lost_at;      /* last loss of an owner while updates from
                                 control were overdue; 0: none */
   service_t *services;
--- a/lib/proxy/owner.c
+++ b/lib/proxy/owner.c
@@ -1,5 +1,7 @@
 #include "proxy.h"
 
+#include <stdlib.h>
+
 enum
 {
   /* Connections to each database that an owner makes use of: transactions hold
@@ -46,8 +48,11 @@
   return x;
 }
 
-int
-owners_pick (str_t service, const str_t *address, int n, int k, int *out)
+/* owners_pick among the addresses with a LOAD below CAP; all, if LOAD is
+   NULL.  */
+static int
+pick (str_t service, const str_t *address, int n, int k, const int *load,
+      int cap, int *out)
 {
   uint64_t best[OWNERS_MAX] = { 0 };
   int found = 0;
@@ -60,7 +65,7 @@
       int at = found;
       while (at > 0 && best[at - 1] < r)
         at--;
-      if (at >= k)
+      if (at >= k || (load && load[i] >= cap))
         continue;
       if (found < k)
         found++;
@@ -74,3 +79,52 @@
     }
   return found;
 }
+
+int
+owners_pick (str_t service, const str_t *address, int n, int k, int *out)
+{
+  return pick (service, address, n, k, NULL, 0, out);
+}
+
+static int
+role_compare (const void *a, const void *b)
+{
+  const owner_role_t *const *x = a, *const *y = b;
+  uint64_t h = str_hash ((*x)->service), g = str_hash ((*y)->service);
+
+  return h < g ? -1 : h > g;
+}
+
+void
+owners_assign (owner_role_t *role, int nrole, const str_t *address, int n)
+{
+  owner_role_t **order = calloc ((size_t)nrole + 1, sizeof *order);
+  int *load = calloc ((size_t)n + 1, sizeof *load);
+  int total = 0;
+
+  if (order == NULL || load == NULL)
+    abort ();
+  for (int i = 0; i < nrole; i++)
+    {
+      order[i] = &role[i];
+      if (role[i].want > n)
+        role[i].want = n;
+      if (role[i].want > OWNERS_MAX)
+        role[i].want = OWNERS_MAX;
+      total += role[i].want;
+    }
+  qsort (order, (size_t)nrole, sizeof (owner_role_t *), role_compare);
+  for (int i = 0; i < nrole; i++)
+    {
+      owner_role_t *r = order[i];
+      /* The last services may find too few addresses below the even share.  */
+      int cap = (total + n - 1) / n;
+      do
+        r->n = pick (r->service, address, n, r->want, load, cap++, r->owner);
+      while (r->n < r->want);
+      for (int j = 0; j < r->n; j++)
+        load[r->owner[j]]++;
+    }
+  free (load);
+  free (order);
+}
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -62,6 +62,84 @@
 }
 END_TEST
 
+enum
+{
+  ASSIGN_SERVICES = 8,
+  ASSIGN_ENTRIES = 32
+};
+
+/* Assigns owners for 8 services among N of 32 addresses, first to last or the
+   other way round; returns the largest number of services of one address, and
+   in SET a bit for each owner of each service.  */
+static int
+assign (int n, bool reverse, uint32_t *set)
+{
+  static char text[ASSIGN_ENTRIES][16], name[ASSIGN_SERVICES][16];
+  str_t address[ASSIGN_ENTRIES];
+  owner_role_t role[ASSIGN_SERVICES];
+  int load[ASSIGN_ENTRIES] = { 0 }, most = 0;
+
+  for (int i = 0; i < n; i++)
+    {
+      int at = reverse ? n - 1 - i : i;
+      snprintf (text[at], sizeof text[at], "10.0.0.%d:7440", at);
+      address[i] = str_of (text[at]);
+    }
+  for (int i = 0; i < ASSIGN_SERVICES; i++)
+    {
+      int at = reverse ? ASSIGN_SERVICES - 1 - i : i;
+      snprintf (name[at], sizeof name[at], "svc%d", at);
+      role[i] = (owner_role_t){ .service = str_of (name[at]), .want = 3 };
+    }
+  owners_assign (role, ASSIGN_SERVICES, address, n);
+  for (int i = 0; i < ASSIGN_SERVICES; i++)
+    {
+      int at = reverse ? ASSIGN_SERVICES - 1 - i : i;
+      ck_assert_int_eq (role[i].n, n < 3 ? n : 3);
+      set[at] = 0;
+      for (int j = 0; j < role[i].n; j++)
+        {
+          int x = reverse ? n - 1 - role[i].owner[j] : role[i].owner[j];
+          ck_assert ((set[at] & 1u << x) == 0);
+          set[at] |= 1u << x;
+          if (++load[x] > most)
+            most = load[x];
+        }
+    }
+  return most;
+}
+
+/* Guards against an instance that owns three services while others own none:
+   its link of 1.4 Mbit/s held up the statements of a whole zone.  */
+START_TEST (owners_are_spread_evenly)
+{
+  uint32_t set[ASSIGN_SERVICES], other[ASSIGN_SERVICES];
+
+  ck_assert_int_eq (assign (ASSIGN_ENTRIES, false, set), 1);
+  assign (ASSIGN_ENTRIES, true, other);
+  ck_assert_mem_eq (set, other, sizeof set);
+  for (int n = 1; n <= ASSIGN_ENTRIES; n++)
+    {
+      int want = ASSIGN_SERVICES * (n < 3 ? n : 3);
+      ck_assert_int_le (assign (n, false, other), (want + n - 1) / n + 1);
+    }
+}
+END_TEST
+
+/* Guards against sessions that all move when one instance leaves.  */
+START_TEST (an_assignment_mostly_stays_when_an_instance_leaves)
+{
+  uint32_t set[ASSIGN_SERVICES], fewer[ASSIGN_SERVICES];
+  int moved = 0;
+
+  assign (ASSIGN_ENTRIES, false, set);
+  assign (ASSIGN_ENTRIES - 1, false, fewer);
+  for (int i = 0; i < ASSIGN_SERVICES; i++)
+    moved += __builtin_popcount (set[i] & ~fewer[i]);
+  ck_assert_int_le (moved, 3);
+}
+END_TEST
+
 /* ---- sessions ---- */
 
 static bool
@@ -352,6 +430,8 @@
 
   tcase_add_test (d, owners_only_where_connections_are_scarce);
   tcase_add_test (d, owners_stay_when_another_instance_leaves);
+  tcase_add_test (d, owners_are_spread_evenly);
+  tcase_add_test (d, an_assignment_mostly_stays_when_an_instance_leaves);
   suite_add_tcase (s, d);
   tcase_set_timeout (t, 30);
   tcase_add_test (t, statements_run_at_the_owner);
