--- a/include/rpc.h
+++ b/include/rpc.h
@@ -50,6 +50,8 @@
   MSG_FLEET_RECORD, /* this and the next: log and snapshots only */
   MSG_FLEET_STATE,
   MSG_SETUP,
+  MSG_QUOTA_ASK,
+  MSG_QUOTA_GRANT,
   MSG_TYPES
 } msgtype_t;
 
@@ -537,6 +539,30 @@
   list_t backends; /* backend_t */
 } fleet_state_t;
 
+/* ---- quotas, between the entry instances of a zone ---- */
+
+/* Of a holder to the accountant of TENANT.  Asks on one connection are
+   answered in their order.  */
+typedef struct
+{
+  int64_t seq;
+  str_t tenant;
+  int64_t version; /* configuration that RATE and BURST are from */
+  int64_t rate;    /* operations a second over all instances */
+  int64_t burst;
+  int64_t need;     /* operations that wait; 0: only a return, not answered */
+  int64_t more;     /* tokens of use beyond that */
+  int64_t returned; /* tokens of earlier grants that weren't used */
+} quota_ask_t;
+
+typedef struct
+{
+  int64_t seq; /* of the ask */
+  int64_t tokens;
+  int64_t retry; /* ms until there is a further token; 0: there were enough */
+  bool stopping; /* the next accountant in rank counts from now on */
+} quota_grant_t;
+
 /* ---- checks of records that others write ---- */
 
 #define BORN_MAX                                                              \
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -329,6 +329,18 @@
         LIST (fleet_state_t, backends, backend) };
 TABLE (fleet_state);
 
+static const field_t quota_ask_fields[]
+    = { INT (quota_ask_t, seq),     TEXT (quota_ask_t, tenant),
+        INT (quota_ask_t, version), INT (quota_ask_t, rate),
+        INT (quota_ask_t, burst),   INT (quota_ask_t, need),
+        INT (quota_ask_t, more),    INT (quota_ask_t, returned) };
+TABLE (quota_ask);
+
+static const field_t quota_grant_fields[]
+    = { INT (quota_grant_t, seq), INT (quota_grant_t, tokens),
+        INT (quota_grant_t, retry), BOOL (quota_grant_t, stopping) };
+TABLE (quota_grant);
+
 static const table_t *const tables[MSG_TYPES] = {
   [MSG_VOTE_REQ] = &vote_req_table,
   [MSG_VOTE_RESP] = &vote_resp_table,
@@ -355,6 +367,8 @@
   [MSG_FLEET_RECORD] = &fleet_record_table,
   [MSG_FLEET_STATE] = &fleet_state_table,
   [MSG_SETUP] = &setup_table,
+  [MSG_QUOTA_ASK] = &quota_ask_table,
+  [MSG_QUOTA_GRANT] = &quota_grant_table,
 };
 
 const char *
