proxy: operations are admitted within their tenant's quota

Cause: a tenant could use all of the databases' room; nothing bound its operations over the instances of the fleet. Change: the instance that runs a statement takes a token from the tenant's accountant in its zone, over the second internal port, before the statement is placed. Beyond the quota it is refused at once, with the time to come back. Endpoints are offered where the configuration has quotas. The settings give the number of zones and the bounds of the rule. The tests set the tenant of a session themselves until sessions are identified.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -11,6 +11,7 @@
 
 #include "base.h"
 #include "loop.h"
+#include "quota.h"
 #include "rpc.h"
 
 /* ---- operations ---- */
@@ -334,6 +335,9 @@
   str_t listen; /* address for clients */
   str_t peers;  /* address advertised to instances that forward to this one */
   str_t peers_listen; /* address bound for them; empty: no forwarding */
+  str_t quota_listen; /* address bound for the holders of quotas; its port
+                         follows that of PEERS; empty: none */
+  quota_rule_t quota;
   str_t *control;     /* RPC addresses of control instances, from settings */
   size_t ncontrol;
   msec_t grace;           /* from SIGTERM to the exit of the process; 0:
--- /dev/null
+++ b/lib/proxy/accountant.c
@@ -0,0 +1,162 @@
+#include "local.h"
+
+#include <stdlib.h>
+#include <sys/socket.h>
+
+/* The accountant's side of quotas: other instances of the zone ask it for
+   tokens of the tenants that it counts for.  */
+
+enum
+{
+  ASK_MAX = 4096,     /* bytes of an ask */
+  TOKENS_MAX = 100000 /* in one ask */
+};
+
+typedef struct
+{
+  proxy_t *proxy;
+  stream_t *stream;
+} holder_t;
+
+int
+accountant_rank (const proxy_t *p, str_t tenant, int *out)
+{
+  str_t *address = calloc (p->nendpoint + 1, sizeof *address);
+
+  if (address == NULL)
+    abort ();
+  for (size_t i = 0; i < p->nendpoint; i++)
+    address[i] = str_of (p->endpoint[i].address);
+  int n = owners_pick (tenant, address, (int)p->nendpoint, QUOTA_RANKS, out);
+  free (address);
+  return n;
+}
+
+/* Whether another instance counts for TENANT as far as is known here.  */
+static bool
+is_second (const proxy_t *p, str_t tenant)
+{
+  int rank[QUOTA_RANKS];
+
+  return accountant_rank (p, tenant, rank) > 0
+         && !str_eq (str_of (p->endpoint[rank[0]].address), p->conf.peers);
+}
+
+static int
+tokens (int64_t n)
+{
+  if (n < 0)
+    return 0;
+  return n < TOKENS_MAX ? (int)n : TOKENS_MAX;
+}
+
+quota_answer_t
+accountant_ask (proxy_t *p, const quota_ask_t *m)
+{
+  quota_limit_t l
+      = quota_limit (&p->conf.quota, m->version, m->rate, m->burst);
+  const tenant_t *t = tenant_find (p, m->tenant);
+  int zones = p->conf.quota.zones > 0 ? p->conf.quota.zones : 1;
+
+  if (t && t->setup_version > m->version)
+    l = quota_limit (&p->conf.quota, t->setup_version, t->rate, t->burst);
+  if (p->nendpoint == 0)
+    {
+      /* Each instance counts alone.  */
+      int all = p->entries > 0 ? p->entries : ENTRIES_DEFAULT * zones;
+      l = quota_limit_part (&l, (all + zones - 1) / zones);
+    }
+  quota_table_turn (p->gate->table, p->now);
+  return quota_table_ask (p->gate->table, m->tenant, &l,
+                          is_second (p, m->tenant), tokens (m->need),
+                          tokens (m->more), tokens (m->returned), p->now);
+}
+
+/* ---- connections of holders ---- */
+
+static void
+answer (holder_t *h, const quota_ask_t *m)
+{
+  proxy_t *p = h->proxy;
+  bool stopping = p->stop_at >= 0;
+  quota_answer_t a = { 0 };
+
+  if (!stopping)
+    a = accountant_ask (p, m);
+  if (m->need <= 0)
+    return;
+  quota_grant_t g = { m->seq, a.tokens, a.retry, stopping };
+  rpc_encode (stream_out (h->stream), MSG_QUOTA_GRANT, &g);
+  stream_flush (h->stream);
+}
+
+static void
+holder_input (void *arg)
+{
+  holder_t *h = arg;
+  proxy_t *p = h->proxy;
+  buf_t *in = stream_in (h->stream);
+  err_t e = { 0 };
+  msgtype_t type;
+  str_t body;
+  int got;
+
+  p->now = loop_now (p->loop);
+  while ((got = rpc_frame (in, &body, &e)) > 0 && body.n <= ASK_MAX)
+    {
+      const quota_ask_t *m = rpc_decode (p->gate->scratch, body, &type, &e);
+      if (m == NULL || type != MSG_QUOTA_ASK)
+        break;
+      answer (h, m);
+      buf_take (in, body.n + 4);
+      apr_pool_clear (p->gate->scratch);
+    }
+  if (got == 0 && buf_len (in) <= ASK_MAX)
+    return;
+  log_event (EV_QUOTA_MALFORMED, "cause=%s bytes=%zu", err_name (e.code),
+             buf_len (in));
+  apr_pool_clear (p->gate->scratch);
+  stream_close (h->stream);
+  free (h);
+}
+
+static void
+holder_closed (void *arg, err_t *e)
+{
+  (void)e;
+  free (arg);
+}
+
+static const stream_ops_t holder_ops = { NULL, holder_input, holder_closed };
+
+static void
+on_holder (void *arg, uint32_t events)
+{
+  proxy_t *p = arg;
+  int fd;
+
+  (void)events;
+  while ((fd = accept4 (p->gate->listener, NULL, NULL,
+                        SOCK_NONBLOCK | SOCK_CLOEXEC))
+         >= 0)
+    {
+      holder_t *h = calloc (1, sizeof *h);
+      if (h == NULL)
+        abort ();
+      h->proxy = p;
+      h->stream = stream_accept (p->loop, fd, &holder_ops, h);
+    }
+}
+
+bool
+accountant_new (proxy_t *p, err_t *e)
+{
+  gate_t *g = p->gate;
+
+  g->listener = -1;
+  if (p->conf.quota_listen.n == 0)
+    return true;
+  g->listener = rpc_listen (p->conf.quota_listen, e);
+  return g->listener >= 0
+         && loop_watch (p->loop, g->listener, on_holder, p, e);
+}
--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -25,6 +25,8 @@
   if (p->conf.peers.n == 0 || p->setup == NULL || p->stop_at >= 0
       || p->cut_off_at >= 0)
     return false;
+  if (p->has_quotas)
+    return true;
   for (const service_t *v = p->services; v; v = v->next)
     if (owners_needed (v->connections, p->entries))
       return true;
@@ -158,7 +160,10 @@
         continue;
       str_copy (v[n].address, sizeof v->address, a);
       if (at >= 0)
-        v[n].avoid_until = p->endpoint[at].avoid_until;
+        {
+          v[n].avoid_until = p->endpoint[at].avoid_until;
+          v[n].quota_avoid_until = p->endpoint[at].quota_avoid_until;
+        }
       n++;
     }
   endpoints_replace (p, v, n);
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -75,6 +75,8 @@
 
 typedef struct db db_t;
 typedef struct tenant tenant_t;
+typedef struct quota_use quota_use_t;
+typedef struct gate gate_t;
 typedef struct service service_t;
 typedef struct session session_t;
 typedef struct link link_t;
@@ -135,6 +137,7 @@
   int64_t rate;  /* operations a second over all instances; 0: no quota */
   int64_t burst; /* operations beyond that at once */
   int64_t setup_version; /* last configuration that contains it */
+  quota_use_t *use;      /* its quota at this instance; NULL: not used yet */
 };
 
 struct link
@@ -224,7 +227,8 @@
 typedef struct
 {
   char address[NAME_SIZE];
-  msec_t avoid_until; /* gets no sessions before this time */
+  msec_t avoid_until;       /* gets no sessions before this time, */
+  msec_t quota_avoid_until; /* and no asks for quotas */
 } endpoint_entry_t;
 
 /* Forwarding of a session's statements to another instance.  */
@@ -252,9 +256,14 @@
   bool needs_leader; /* only the primary can run it */
   bool read_only;    /* no side effects: may be repeated */
   bool sent;
-  bool repeated; /* was retried after it had run and failed */
-  op_t op;       /* its strings are in TEXT; of OP_EXECUTE, NAME is the key of
-                    the prepared statement */
+  bool repeated;      /* was retried after it had run and failed */
+  quota_use_t *use;   /* quota that it counts for; NULL: none */
+  bool gated;         /* waits for a token of it */
+  bool counted;       /* has one */
+  bool over_quota;    /* was refused for it */
+  msec_t token_until; /* the token can be given back before this time */
+  op_t op; /* its strings are in TEXT; of OP_EXECUTE, NAME is the key of
+              the prepared statement */
   buf_t text;
   pos_t need; /* position that the database must have reached */
   msec_t arrived;
@@ -272,6 +281,7 @@
   session_t *next; /* in the proxy's list */
   session_t *prev;
   session_t *next_waiting;
+  session_t *next_gated;
   proxy_t *proxy;
   stream_t *stream;
   str_t host; /* database name that the client asked for; empty before that;
@@ -298,6 +308,58 @@
   request_t req;
 };
 
+/* ---- quotas ---- */
+
+typedef struct quota_peer quota_peer_t;
+
+/* Quota of a tenant at this instance.  */
+struct quota_use
+{
+  quota_hold_t hold;
+  tenant_t *tenant;
+  quota_use_t *next_asked; /* in the peer's list, in the order of the asks */
+  quota_use_t *next_held;  /* among those with tokens that may have to be
+                              returned */
+  bool held;               /* is among these */
+  session_t *waiting;      /* for an answer, in the order of arrival */
+  session_t **waiting_end;
+  int nwaiting;
+  int rank[QUOTA_RANKS]; /* endpoints of the accountants */
+  int nrank;
+  int64_t rank_version; /* endpoints_version that RANK is from */
+  int tried;            /* accountants asked in vain for those that wait */
+  int64_t peer;         /* accountant of the last ask; 0: this instance */
+  int64_t admitted;
+  int64_t refused;
+  msec_t logged_at; /* last log line of a refusal */
+  int64_t logged;   /* refusals at that time */
+};
+
+/* A connection to an accountant.  */
+struct quota_peer
+{
+  quota_peer_t *next;
+  proxy_t *proxy;
+  stream_t *stream;
+  char address[NAME_SIZE]; /* of its endpoint */
+  int64_t id;
+  quota_use_t *asked; /* asks without an answer, oldest first */
+  quota_use_t **asked_end;
+};
+
+struct gate
+{
+  quota_table_t *table;
+  int listener;
+  apr_pool_t *scratch;
+  quota_peer_t *peers;
+  int64_t last_id;
+  int64_t seq;
+  quota_use_t *held;
+  quota_use_t **held_end;
+  msec_t held_due; /* the first of these is due; -1: none */
+};
+
 /* ---- control ---- */
 
 typedef struct
@@ -369,6 +431,8 @@
   apr_hash_t *service_by_name;
   tenant_t *tenants;
   apr_hash_t *tenant_by_name;
+  bool has_quotas; /* a tenant of the configuration has a rate */
+  gate_t *gate;
   link_t *closed_links; /* closed, freed at the next turn */
   watcher_t watch;
   apr_pool_t *setup_pool;
@@ -521,6 +585,26 @@
 void endpoint_avoid (proxy_t *p, const char *address);
 bool endpoint_listed (const proxy_t *p, const char *address);
 
+/* gate.c: quotas of tenants.  The instance that runs an operation takes a
+   token for it.  */
+bool gate_new (proxy_t *p, err_t *e);
+/* gate_admits: whether the session's statement, a single one or the first of
+   a transaction, is within the quota.  If not, it waits for a token, after
+   which it is placed, or it was refused.  */
+bool gate_admits (session_t *s);
+/* gate_end: the statement ends; its token is given back if it was never sent
+   to a database.  */
+void gate_end (session_t *s);
+void gate_turn (proxy_t *p, msec_t now);
+
+/* accountant.c: counts for tenants on behalf of this zone.  */
+bool accountant_new (proxy_t *p, err_t *e);
+/* accountant_ask: asks this instance itself.  */
+quota_answer_t accountant_ask (proxy_t *p, const quota_ask_t *m);
+/* accountant_rank: the places among the endpoints of the accountants of
+   TENANT, at most QUOTA_RANKS, by their rank; returns their number.  */
+int accountant_rank (const proxy_t *p, str_t tenant, int *out);
+
 /* forward.c */
 /* forward_needed: whether OP is to be sent to another instance.  */
 bool forward_needed (session_t *s, const op_t *op);
--- a/lib/proxy/outcome.c
+++ b/lib/proxy/outcome.c
@@ -16,6 +16,7 @@
 statement_clear (session_t *s)
 {
   statement_dequeue (s);
+  gate_end (s);
   s->req.active = false;
 }
 
@@ -52,7 +53,8 @@
   proxy_t *p = s->proxy;
 
   metrics_answered (s, f == FAIL_INDOUBT ? OUTCOME_UNKNOWN : OUTCOME_REFUSED);
-  log_failure (s, f);
+  if (!s->req.over_quota)
+    log_failure (s, f);
   statement_clear (s);
   p->conf.client->error (client_out (s), f, text);
   session_send_ready (s);
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -69,6 +69,8 @@
   rng_init (&p->watch.rng, rng_system_seed ());
   p->watch.at = (size_t)rng_below (&p->watch.rng, 1024);
   metrics_new (p);
+  if (!gate_new (p, e))
+    return NULL;
   p->listener = rpc_listen (c->listen, e);
   if (p->listener < 0 || !loop_watch (l, p->listener, on_client, p, e))
     return NULL;
@@ -117,6 +119,7 @@
   if (due)
     p->wake = -1;
   watch_turn (p, now);
+  gate_turn (p, now);
   links_warm (p, now);
   if (due)
     {
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -64,7 +64,8 @@
       link_run (p, s->link, s);
       return;
     }
-  statement_place (s);
+  if (gate_admits (s))
+    statement_place (s);
 }
 
 /* ---- connection events ---- */
--- a/lib/proxy/tenant.c
+++ b/lib/proxy/tenant.c
@@ -26,12 +26,14 @@
 void
 tenants_update (proxy_t *p)
 {
+  p->has_quotas = false;
   for (size_t i = 0; i < p->setup->tenants.n; i++)
     {
       const tenant_entry_t *x = LIST_AT (p->setup->tenants, tenant_entry_t, i);
       tenant_t *t = tenant_get (p, x->name);
       t->rate = x->rate;
       t->burst = x->burst;
+      p->has_quotas |= x->rate > 0;
       t->setup_version = p->setup->version;
     }
 }
--- a/test/stage.c
+++ b/test/stage.c
@@ -413,14 +413,22 @@
                               0,
                               s->timeout,
                               200,
-                              2 };
+                              2,
+                              s->extra_anonymous };
       n++;
     }
   service_entry_t v = { STR ("svc"), s->connections, s->sync_replicas };
+  tenant_entry_t t[2] = { { STR ("hot"), 1, s->rate[0], s->burst[0] },
+                          { STR ("calm"), 1, s->rate[1], s->burst[1] } };
+  api_key_t k[2] = { { STR ("u1"), 0 }, { STR ("u2"), 1 } };
+  size_t tenants = s->rate[0] || s->rate[1] ? 2 : 0;
   setup_t m = { .version = s->version,
                 .tx_idle = s->tx_idle,
                 .routes = { r, n },
-                .services = { &v, 1 } };
+                .services = { &v, 1 },
+                .tenanted = tenants > 0,
+                .tenants = { t, tenants },
+                .keys = { k, tenants } };
 
   rpc_pack (out, MSG_SETUP, &m);
 }
@@ -607,17 +615,23 @@
 }
 
 stage_client_t *
-stage_session_at (stage_t *s, bool second, const char *host)
+stage_session_key (stage_t *s, bool second, const char *host, const char *key)
 {
   stage_client_t *c = client_at (s, second ? s->second_port : s->port);
   char text[1024];
 
-  snprintf (text, sizeof text, "STARTUP %s u1\r\n", host);
+  snprintf (text, sizeof text, "STARTUP %s %s\r\n", host, key);
   ck_assert_msg (stage_request (c, text, "READY I -\r\n"), "got: %s",
                  c->received);
   return c;
 }
 
+stage_client_t *
+stage_session_at (stage_t *s, bool second, const char *host)
+{
+  return stage_session_key (s, second, host, "u1");
+}
+
 stage_client_t *
 stage_session (stage_t *s, const char *host)
 {
@@ -673,6 +687,29 @@
   close (stage_listen (out, size));
 }
 
+/* ADDRESS with the next port; empty for NULL.  */
+static str_t
+next_port (apr_pool_t *pool, const char *address)
+{
+  return address ? str_fmt (pool, "127.0.0.1:%d", port_of (address) + 1)
+                 : (str_t){ 0 };
+}
+
+/* Two addresses with successive ports and without listeners.  */
+static void
+free_addresses (stage_t *s, char *out, size_t size)
+{
+  err_t e = { 0 };
+  int fd = -1;
+
+  while (fd < 0)
+    {
+      free_address (out, size);
+      fd = rpc_listen (next_port (s->pool, out), &e);
+    }
+  close (fd);
+}
+
 static proxy_t *
 new_proxy (stage_t *s, const char *name, int *port, const char *endpoint)
 {
@@ -686,6 +723,8 @@
                      .zone = STR ("z1"),
                      .peers = str_of (endpoint),
                      .peers_listen = str_of (endpoint),
+                     .quota_listen = next_port (s->pool, endpoint),
+                     .quota = { .zones = 1, .window = 5000, .excess = 0.1 },
                      .control = ctl,
                      .ncontrol = 2,
                      .grace = 6000,
@@ -769,7 +808,7 @@
   s->connections = 10;
   s->entries = 40;
   for (int i = 0; i < 2; i++)
-    free_address (s->endpoint[i], sizeof s->endpoint[i]);
+    free_addresses (s, s->endpoint[i], sizeof s->endpoint[i]);
   s->proxy = new_proxy (s, "p1", &s->port, s->endpoint[0]);
   s->second = new_proxy (s, "p2", &s->second_port, s->endpoint[1]);
   ck_assert (stage_run (s, 3000, is_pair, s));
--- a/test/stage.h
+++ b/test/stage.h
@@ -78,6 +78,9 @@
   int64_t timeout;         /* of statements, ms */
   bool extra_route;
   const char *extra_host; /* of another route, or NULL */
+  bool extra_anonymous;   /* its callers aren't identified */
+  int64_t rate[2];  /* of the tenants "hot" and "calm"; all 0: no tenants */
+  int64_t burst[2];
   msec_t until;
   bool (*done) (void *arg);
   void *arg;
@@ -93,8 +96,11 @@
 /* stage_pair: two instances of one zone that share fewer connections than
    instances; waits until both know each other.  */
 stage_t *stage_pair (void);
-/* stage_session_at: like stage_session, at the second instance if SECOND.  */
+/* stage_session_at: like stage_session, at the second instance if SECOND.
+   stage_session_key: with another KEY than "u1".  */
 stage_client_t *stage_session_at (stage_t *s, bool second, const char *host);
+stage_client_t *stage_session_key (stage_t *s, bool second, const char *host,
+                                   const char *key);
 void stage_free (stage_t *s);
 /* stage_run: runs the loop for MS of real time, or until DONE returns true;
    returns what DONE returns last.  */
--- /dev/null
+++ b/test/test_gate.c
@@ -0,0 +1,390 @@
+/* Quotas of tenants at instances: who is admitted, refused, and counted.  The
+   decisions are tested in test_quota.c.  */
+
+#include "../lib/proxy/local.h"
+#include "stage.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+/* ---- quotas and sessions ---- */
+
+static bool
+in_force (void *arg)
+{
+  const stage_t *s = arg;
+
+  return s->proxy->setup && s->proxy->setup->version == s->version
+         && (s->second == NULL || s->second->setup->version == s->version);
+}
+
+static void
+set_quotas (stage_t *s, int64_t hot, int64_t hot_burst, int64_t calm,
+            int64_t calm_burst)
+{
+  s->rate[0] = hot;
+  s->burst[0] = hot_burst;
+  s->rate[1] = calm;
+  s->burst[1] = calm_burst;
+  s->version++;
+  ck_assert (stage_run (s, 3000, in_force, s));
+}
+
+/* A session of tenant "hot" or "calm".  */
+static stage_client_t *
+session_of (stage_t *s, bool second, const char *tenant, const char *host)
+{
+  proxy_t *p = second ? s->second : s->proxy;
+  const char *key = strcmp (tenant, "hot") == 0 ? "u1" : "u2";
+  stage_client_t *c = stage_session_key (s, second, host, key);
+
+  p->sessions->tenant = tenant_find (p, str_of (tenant));
+  ck_assert_ptr_nonnull (p->sessions->tenant);
+  return c;
+}
+
+static quota_use_t *
+use (proxy_t *p, const char *tenant)
+{
+  return tenant_find (p, str_of (tenant))->use;
+}
+
+static bool
+is_served (stage_client_t *c)
+{
+  return stage_request (c, "QUERY q1 READ 7\r\n", "READY I -\r\n")
+         && strstr (c->received, "COMPLETE") != NULL;
+}
+
+/* Reads N times in a row; how many were served.  */
+static int
+served (stage_client_t *c, int n)
+{
+  int k = 0;
+
+  for (int i = 0; i < n; i++)
+    k += is_served (c);
+  return k;
+}
+
+/* ---- admission ---- */
+
+/* Guards against a burst that is refused, and against one without a bound.  */
+START_TEST (burst_is_admitted_up_to_the_burst)
+{
+  stage_t *s = stage_new (true);
+
+  set_quotas (s, 20, 10, 0, 0);
+  stage_client_t *c = session_of (s, false, "hot", "near");
+  ck_assert (is_served (c));
+  stage_run (s, 800, NULL, NULL);
+  int n = served (c, 16);
+  ck_assert_msg (n >= 9 && n <= 12, "%d", n);
+  ASK (c, "QUERY q2 READ 7\r\n", "ERROR BUSY quota exceeded; come back in ");
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a tenant beyond its quota that is held, or that makes others
+   wait.  */
+START_TEST (hot_tenant_is_refused_at_once_and_others_are_served)
+{
+  stage_t *s = stage_new (true);
+
+  set_quotas (s, 2, 2, 200, 50);
+  stage_client_t *hot = session_of (s, false, "hot", "near");
+  stage_client_t *calm = session_of (s, false, "calm", "near");
+  /* A bucket starts with 1.5 tokens.  */
+  ck_assert (is_served (calm));
+  stage_run (s, 300, NULL, NULL);
+  served (hot, 4);
+  for (int i = 0; i < 10; i++)
+    {
+      msec_t from = msec_now ();
+      ASK (hot, "QUERY q1 WRITE 7 x\r\n", "ERROR BUSY quota exceeded");
+      ck_assert_int_lt (msec_now () - from, 50);
+      ck_assert (is_served (calm));
+    }
+  ck_assert_int_eq (use (s->proxy, "calm")->refused, 0);
+  ck_assert_int_ge (use (s->proxy, "hot")->refused, 10);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a transaction that is counted for each of its statements, or
+   one that is refused in its middle.  */
+START_TEST (transaction_counts_once)
+{
+  stage_t *s = stage_new (true);
+
+  set_quotas (s, 1, 1, 0, 0);
+  stage_client_t *c = session_of (s, false, "hot", "lead");
+  ASK (c, "QUERY q1 BEGIN\r\n", "READY T");
+  for (int i = 0; i < 5; i++)
+    ASK (c, "QUERY q2 WRITE 7 x\r\n", "COMPLETE sig-db0\r\nREADY T");
+  ASK (c, "QUERY q3 COMMIT\r\n", "COMPLETE sig-db0\r\nREADY I");
+  ck_assert_int_eq (use (s->proxy, "hot")->admitted, 1);
+  ASK (c, "QUERY q4 BEGIN\r\n", "READY T");
+  ASK (c, "QUERY q5 READ 7\r\n", "ERROR ABORTED quota exceeded");
+  ASK (c, "QUERY q6 ROLLBACK\r\n", "READY I");
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against callers of a public route that use up a tenant's quota or are
+   refused for one.  */
+START_TEST (anonymous_callers_are_not_counted)
+{
+  stage_t *s = stage_new (true);
+
+  s->extra_host = "open";
+  s->extra_anonymous = true;
+  set_quotas (s, 1, 1, 0, 0);
+  stage_client_t *c = stage_session (s, "open");
+  ck_assert_int_eq (served (c, 10), 10);
+  ck_assert_ptr_null (use (s->proxy, "hot"));
+  ck_assert_int_eq ((int)quota_table_size (s->proxy->gate->table), 0);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a lowered limit that leaves the old burst.  */
+START_TEST (lowered_limit_cuts_the_bucket)
+{
+  stage_t *s = stage_new (true);
+
+  set_quotas (s, 100, 60, 0, 0);
+  stage_client_t *c = session_of (s, false, "hot", "near");
+  ck_assert (is_served (c));
+  stage_run (s, 700, NULL, NULL);
+  ck_assert_int_eq (served (c, 10), 10);
+  set_quotas (s, 1, 2, 0, 0);
+  stage_run (s, QUOTA_GRANT_LIFE, NULL, NULL);
+  ck_assert_int_le (served (c, 10), 3);
+  stage_free (s);
+}
+END_TEST
+
+/* ---- what is counted ---- */
+
+/* Guards against an operation that takes a token for each attempt.  */
+START_TEST (retry_is_not_counted_again)
+{
+  stage_t *s = stage_new (true);
+
+  set_quotas (s, 1, 1, 0, 0);
+  stage_client_t *c = session_of (s, false, "hot", "lead");
+  strcpy (s->db[0].fail_at, "WRITE");
+  strcpy (s->db[0].fail_code, "BUSY");
+  ASK (c, "QUERY q1 WRITE 7 x\r\n", "COMPLETE sig-db0");
+  ck_assert_int_eq (stage_count (&s->db[0], "q1 WRITE"), 2);
+  ck_assert_int_eq (use (s->proxy, "hot")->admitted, 1);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a quota that is used up by operations that were never sent to
+   a database.  */
+START_TEST (operation_that_was_never_sent_is_given_back)
+{
+  stage_t *s = stage_new (true);
+
+  set_quotas (s, 1, 1, 0, 0);
+  for (int i = 0; i < STAGE_DBS; i++)
+    {
+      s->db[i].ignore_startup = true;
+      stage_disconnect (&s->db[i]);
+    }
+  stage_run (s, 50, NULL, NULL);
+  for (int i = 0; i < 3; i++)
+    {
+      stage_client_t *c = session_of (s, false, "hot", "near");
+      stage_send (c, "QUERY q1 READ 7\r\n");
+      stage_run (s, 40, NULL, NULL);
+      ck_assert_int_eq (use (s->proxy, "hot")->admitted, i + 1);
+      stream_close (c->stream);
+      stage_run (s, 40, NULL, NULL);
+    }
+  ck_assert_int_eq (use (s->proxy, "hot")->refused, 0);
+  stage_free (s);
+}
+END_TEST
+
+/* ---- two instances ---- */
+
+/* Two instances without owners of connections: both run statements.  */
+static stage_t *
+pair_with_quotas (int64_t rate, int64_t burst)
+{
+  stage_t *s = stage_pair ();
+
+  s->connections = 400;
+  set_quotas (s, rate, burst, rate, burst);
+  return s;
+}
+
+static const char *
+accountant (proxy_t *p, const char *tenant)
+{
+  int rank[QUOTA_RANKS];
+
+  ck_assert_int_gt (accountant_rank (p, str_of (tenant), rank), 0);
+  return p->endpoint[rank[0]].address;
+}
+
+/* Guards against instances that each grant the whole quota.  */
+START_TEST (instances_share_a_quota)
+{
+  stage_t *s = pair_with_quotas (10, 10);
+  bool second = strcmp (accountant (s->proxy, "hot"), s->endpoint[1]) == 0;
+  proxy_t *counts = second ? s->second : s->proxy;
+  proxy_t *other = second ? s->proxy : s->second;
+  stage_client_t *a = session_of (s, false, "hot", "near");
+  stage_client_t *b = session_of (s, true, "hot", "near");
+
+  ck_assert (is_served (a));
+  ck_assert_int_eq ((int)quota_table_size (counts->gate->table), 1);
+  stage_run (s, 1200, NULL, NULL);
+  int n = 0;
+  for (int i = 0; i < 15; i++)
+    n += is_served (a) + is_served (b);
+  ck_assert_msg (n >= 9 && n <= 13, "%d", n);
+  ck_assert_int_eq ((int)quota_table_size (other->gate->table), 0);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against tokens that end unused at an instance and are then missing
+   from the quota.  */
+START_TEST (unused_tokens_return_to_the_accountant)
+{
+  stage_t *s = pair_with_quotas (10, 20);
+  bool second = strcmp (accountant (s->proxy, "hot"), s->endpoint[0]) == 0;
+  stage_client_t *c = session_of (s, second, "hot", "near");
+  proxy_t *holder = second ? s->second : s->proxy;
+
+  ck_assert (is_served (c));
+  stage_run (s, 2200, NULL, NULL);
+  ck_assert_int_eq (served (c, 8), 8);
+  quota_hold_t *h = &use (holder, "hot")->hold;
+  ck_assert_int_gt (h->tokens, 0);
+  stage_run (s, QUOTA_GRANT_LIFE + 50, NULL, NULL);
+  ck_assert_int_eq (h->tokens, 0);
+  int n = served (c, 20);
+  ck_assert_msg (n >= 13, "%d", n);
+  stage_free (s);
+}
+END_TEST
+
+/* Replaces one endpoint by one that accepts connections and never answers, and
+   that counts for "hot".  Returns its socket.  */
+static int
+silence_accountant (stage_t *s, bool second)
+{
+  for (int i = 0; i < 40; i++)
+    {
+      char address[32];
+      int fd = stage_listen (address, sizeof address);
+      int port = (int)strtol (strchr (address, ':') + 1, NULL, 10);
+      snprintf (s->endpoint[second], sizeof s->endpoint[second],
+                "127.0.0.1:%d", port - 1);
+      s->roster++;
+      stage_run (s, 500, NULL, NULL);
+      if (strcmp (accountant (second ? s->proxy : s->second, "hot"),
+                  s->endpoint[second])
+          == 0)
+        return fd;
+      close (fd);
+    }
+  ck_abort_msg ("no address that counts for the tenant");
+}
+
+/* Guards against sessions that hang, or are refused, while the instance that
+   counts for their tenant is frozen.  */
+START_TEST (next_accountant_answers_for_a_frozen_one)
+{
+  stage_t *s = pair_with_quotas (50, 10);
+  stage_client_t *c = session_of (s, false, "hot", "near");
+  int fd = silence_accountant (s, true);
+
+  msec_t from = msec_now ();
+  ck_assert (is_served (c));
+  msec_t took = msec_now () - from;
+  ck_assert_msg (took >= 100 && took < 400, "%lld ms", (long long)took);
+  stage_run (s, 200, NULL, NULL);
+  from = msec_now ();
+  ck_assert (is_served (c));
+  ck_assert_int_lt (msec_now () - from, 100);
+  ck_assert_int_eq (use (s->proxy, "hot")->refused, 0);
+  close (fd);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against the loss of what a malformed message arrived with: the
+   process, or the other connections.  */
+START_TEST (malformed_ask_closes_only_its_connection)
+{
+  stage_t *s = pair_with_quotas (50, 10);
+  char port[32];
+  int64_t n = strtol (strchr (s->endpoint[0], ':') + 1, NULL, 10) + 1;
+  buf_t bad;
+
+  buf_init (&bad);
+  snprintf (port, sizeof port, "127.0.0.1:%lld", (long long)n);
+  quota_ask_t odd = { .tenant = STR (""),
+                      .need = INT64_MAX,
+                      .more = INT64_MIN,
+                      .returned = INT64_MAX,
+                      .rate = INT64_MAX };
+  rpc_encode (&bad, MSG_QUOTA_ASK, &odd);
+  odd.tenant = STR ("nobody");
+  rpc_encode (&bad, MSG_QUOTA_ASK, &odd);
+  watch_t w = { 0 };
+  rpc_encode (&bad, MSG_WATCH, &w);
+  int fd = rpc_connect (str_of (port), NULL);
+  ck_assert_int_ge (fd, 0);
+  stage_run (s, 50, NULL, NULL);
+  rpc_write (fd, &bad, NULL);
+  stage_run (s, 100, NULL, NULL);
+  char text[512];
+  while (read (fd, text, sizeof text) > 0)
+    ;
+  ck_assert_int_eq ((int)read (fd, text, sizeof text), 0);
+  close (fd);
+  buf_free (&bad);
+  ck_assert (is_served (session_of (s, true, "hot", "near")));
+  stage_free (s);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *s = suite_create ("gate");
+  TCase *t = tcase_create ("one instance");
+  TCase *u = tcase_create ("two instances");
+
+  tcase_set_timeout (t, 30);
+  tcase_add_test (t, burst_is_admitted_up_to_the_burst);
+  tcase_add_test (t, hot_tenant_is_refused_at_once_and_others_are_served);
+  tcase_add_test (t, transaction_counts_once);
+  tcase_add_test (t, anonymous_callers_are_not_counted);
+  tcase_add_test (t, lowered_limit_cuts_the_bucket);
+  tcase_add_test (t, retry_is_not_counted_again);
+  tcase_add_test (t, operation_that_was_never_sent_is_given_back);
+  suite_add_tcase (s, t);
+  tcase_set_timeout (u, 60);
+  tcase_add_test (u, instances_share_a_quota);
+  tcase_add_test (u, unused_tokens_return_to_the_accountant);
+  tcase_add_test (u, next_accountant_answers_for_a_frozen_one);
+  tcase_add_test (u, malformed_ask_closes_only_its_connection);
+  suite_add_tcase (s, u);
+  SRunner *r = srunner_create (s);
+  srunner_run_all (r, CK_NORMAL);
+  int failed = srunner_ntests_failed (r);
+  srunner_free (r);
+  return failed ? 1 : 0;
+}
