--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -131,7 +131,7 @@
 pick_for_tenant (proxy_t *p, service_t *v, const tenant_t *t)
 {
   str_t address[OWNERS_MAX];
-  endpoint_entry_t *at[OWNERS_MAX];
+  endpoint_entry_t *at[OWNERS_MAX] = { NULL };
   int n = 0, first;
 
   for (int i = 0; i < v->nowner; i++)
--- a/test/test_tenants_pool.c
+++ b/test/test_tenants_pool.c
@@ -319,7 +319,7 @@
   for (int i = 0; i < TENANTS; i++)
     {
       char before[NAME_SIZE];
-      strcpy (before, owner_of (&x, i));
+      str_copy (before, sizeof before, str_of (owner_of (&x, i)));
       ck_assert_str_eq (before, owner_of (&x, i));
       ck_assert_str_eq (before, owner_of (&y, i));
       used[before[strlen ("10.0.0.")] - '0']++;
