proxy: a fair queue between tenants, without I/O

A statement of a tenant beyond it has a rank above 0, which waiter_cmp compares first and waiter_hopeless counts as overtaken by all arrivals of rank 0. Nothing uses it yet.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -247,11 +247,12 @@
   msec_t deadline; /* no answer counts after this time */
   int64_t priority;
   double ms; /* time at a database that statements of this kind take */
+  int rank;  /* 0: of a tenant within its share, see fair_rank */
 } waiter_t;
 
-/* waiter_cmp: <0 when A is to run before B at NOW.  First those that can still
-   be answered in time, then by priority, then the shorter kind, then by
-   arrival.  */
+/* waiter_cmp: <0 when A is to run before B at NOW.  First by rank, then those
+   that can still be answered in time, then by priority, then the shorter kind,
+   then by arrival.  */
 int waiter_cmp (const waiter_t *a, const waiter_t *b, msec_t now);
 enum
 {
@@ -263,7 +264,7 @@
 typedef struct
 {
   msec_t since;
-  int arrived[WAITER_KINDS];
+  int arrived[2][WAITER_KINDS]; /* of rank 0, of others */
   int started;
 } flow_window_t;
 
@@ -290,6 +291,52 @@
 bool waiter_hopeless (const waiter_t *w, const flow_t *f, int ahead,
                       msec_t now);
 
+/* ---- tenants that share a queue ---- */
+
+/* A tenant's use of one queue.  Zeroed: none.  */
+typedef struct
+{
+  double tag;     /* time of the queue's clock when its next one is due */
+  double share;   /* of all rates, above 0 */
+  double backlog; /* ms of work that wait */
+  double ahead;   /* of fair_order */
+  int waiting;
+  int at; /* in fair_t.busy while some wait */
+} fair_flow_t;
+
+/* Weighted fair queuing between tenants.  The clock counts ms of work divided
+   by the share of who used it, and follows the tenants that wait: what a
+   tenant used while no other waited isn't held against it.  Zeroed: empty.  */
+typedef struct
+{
+  double clock;
+  fair_flow_t **busy; /* tenants of which statements wait */
+  int n;
+  int cap;
+} fair_t;
+
+typedef struct
+{
+  waiter_t w;
+  fair_flow_t *flow;
+  void *of; /* the caller's */
+  msec_t now;
+} fair_waiter_t;
+
+/* fair_arrived: a statement of F that takes MS came to the queue; SHARE is the
+   tenant's.  fair_left: one left it, to a database or refused.  fair_ran: one
+   went to a database, whether it waited or not.  */
+void fair_arrived (fair_t *q, fair_flow_t *f, double share, double ms);
+void fair_left (fair_t *q, fair_flow_t *f, double ms);
+void fair_ran (fair_t *q, fair_flow_t *f, double share, double ms);
+/* fair_rank: rank of the next statement of F that comes: 0 within its share,
+   higher the further beyond, 0 while no other tenant waits.  */
+int fair_rank (const fair_t *q, const fair_flow_t *f);
+/* fair_order: sorts the N statements that wait into the order in which they
+   are to run and sets their ranks.  */
+void fair_order (fair_t *q, fair_waiter_t *v, int n, msec_t now);
+void fair_free (fair_t *q);
+
 /* What is known of the positions that a replica lacks.  */
 typedef struct
 {
--- a/lib/proxy/waiter.c
+++ b/lib/proxy/waiter.c
@@ -18,6 +18,8 @@
 {
   bool x = in_time (a, now), y = in_time (b, now);
 
+  if (a->rank != b->rank)
+    return a->rank < b->rank ? -1 : 1;
   if (x != y)
     return x ? -1 : 1;
   if (a->priority != b->priority)
@@ -43,7 +45,7 @@
 flow_arrived (flow_t *f, int kind, const waiter_t *w, msec_t now)
 {
   roll (f, now);
-  f->current.arrived[kind]++;
+  f->current.arrived[w->rank > 0][kind]++;
   f->priority[kind] = w->priority;
   f->ms[kind] = w->ms;
 }
@@ -63,17 +65,22 @@
 
 /* ---- refusal ---- */
 
+/* Statements of KIND that came, of tenants within their share, or BEYOND it.
+ */
 static int
-arrivals (const flow_t *f, int kind)
+arrivals (const flow_t *f, bool beyond, int kind)
 {
-  return f->last.arrived[kind] + f->current.arrived[kind];
+  return f->last.arrived[beyond][kind] + f->current.arrived[beyond][kind];
 }
 
 /* Whether statements of KIND that can be answered in time run before W, when W
    has the rank that LATE gives it.  */
 static bool
-overtakes (const flow_t *f, int kind, const waiter_t *w, bool late)
+overtakes (const flow_t *f, bool beyond, int kind, const waiter_t *w,
+           bool late)
 {
+  if (beyond != (w->rank > 0))
+    return !beyond;
   return late || f->priority[kind] < w->priority
          || (f->priority[kind] == w->priority && f->ms[kind] < w->ms);
 }
@@ -87,8 +94,9 @@
   double leave = f->last.started + f->current.started, come = 0;
 
   for (int k = 0; k < WAITER_KINDS; k++)
-    if (overtakes (f, k, w, late))
-      come += arrivals (f, k);
+    for (int beyond = 0; beyond < 2; beyond++)
+      if (overtakes (f, beyond, k, w, late))
+        come += arrivals (f, beyond, k);
   return leave > come ? ahead * span / (leave - come) : -1;
 }
 
