proxy: statements that wait are ordered by the fair queue

The queue of a service asks fair.c for the order and the ranks. A tenant's share is its configured rate among all, at least half of the mean. Without tenants there is one share, every rank is 0 and the order is that of waiter_cmp as before.

--- a/lib/proxy/attempt.c
+++ b/lib/proxy/attempt.c
@@ -41,6 +41,10 @@
 
   if (s->req.waiting)
     return;
+  s->req.flow = share_flow (s);
+  s->req.queued_ms = w.ms;
+  w.rank = fair_rank (&v->fair, s->req.flow);
+  fair_arrived (&v->fair, s->req.flow, share_of (s->proxy, s->tenant), w.ms);
   flow_arrived (&v->flow, (int)s->route.freshness, &w, s->proxy->now);
   s->next_waiting = v->waiting;
   v->waiting = s;
@@ -61,6 +65,7 @@
   if (*at)
     {
       *at = s->next_waiting;
+      fair_left (&s->service->fair, s->req.flow, s->req.queued_ms);
       if (--s->service->nwaiting == 0)
         flow_empty (&s->service->flow);
     }
@@ -152,6 +157,8 @@
   if (r->waiting)
     flow_started (&s->service->flow, p->now);
   statement_dequeue (s);
+  fair_ran (&s->service->fair, share_flow (s), share_of (p, s->tenant),
+            s->service->kind_ms[s->route.freshness]);
   if (r->attempts++ == 0)
     metrics_started (s);
   memcpy (r->last_db, d->id, sizeof r->last_db);
@@ -183,9 +190,10 @@
   link_open (p, d, s->tenant);
 }
 
-/* Tries to place the statement once.  False when it has to wait.  */
+/* Tries to place the statement once, with OPEN also on a connection that has
+   to be opened.  False when it has to wait.  */
 static bool
-try_place (session_t *s)
+try_place (session_t *s, bool may_open)
 {
   proxy_t *p = s->proxy;
   candidate_t cand[CANDIDATES_MAX];
@@ -200,7 +208,7 @@
       run_on (s, db[at.at]);
       return true;
     }
-  if (at.kind == PLACE_OPEN)
+  if (at.kind == PLACE_OPEN && may_open)
     open_for (s, &cand[at.at], db[at.at]);
   /* All databases were tried: try them again, since what they lacked, such as
      a position, changes soon.  */
@@ -224,7 +232,7 @@
         statement_fail (s, f, STR ("no database could run it"));
       return;
     }
-  if (try_place (s))
+  if (try_place (s, true))
     return;
   enqueue (s);
   if (s->service->nwaiting > 1)
@@ -233,21 +241,6 @@
 
 /* ---- the queue after a change ---- */
 
-typedef struct
-{
-  session_t *session;
-  waiter_t w;
-  msec_t now;
-} queued_t;
-
-static int
-compare (const void *a, const void *b)
-{
-  const queued_t *x = a, *y = b;
-
-  return waiter_cmp (&x->w, &y->w, x->now);
-}
-
 static bool
 refuse_hopeless (session_t *s, const waiter_t *w, int ahead)
 {
@@ -257,11 +250,30 @@
   return true;
 }
 
+static bool
+has_idle (const service_t *v)
+{
+  for (const db_t *d = v->dbs; d; d = d->next)
+    if (d->idle)
+      return true;
+  return false;
+}
+
+/* Places the N statements of one rank that their tenants' idle connections can
+   run: closing one of those to open another costs more.  */
+static void
+place_on_idle (service_t *v, const fair_waiter_t *q, int n)
+{
+  for (int i = 0; i < n && has_idle (v); i++)
+    try_place (q[i].of, false);
+}
+
 void
 statement_place_queued (proxy_t *p, service_t *v)
 {
-  int n = 0, ahead[2] = { 0 };
-  queued_t *q;
+  int n = 0, ahead[2] = { 0 }, end = 0;
+  bool tenants = p->setup && p->setup->tenanted;
+  fair_waiter_t *q;
 
   if (v->nwaiting == 0)
     return;
@@ -269,12 +281,19 @@
   if (q == NULL)
     abort ();
   for (session_t *s = v->waiting; s; s = s->next_waiting)
-    q[n++] = (queued_t){ s, waiter_of (s), p->now };
-  qsort (q, (size_t)n, sizeof *q, compare);
+    q[n++]
+        = (fair_waiter_t){ .w = waiter_of (s), .flow = s->req.flow, .of = s };
+  fair_order (&v->fair, q, n, p->now);
   for (int i = 0; i < n; i++)
     {
-      session_t *s = q[i].session;
-      if (try_place (s)
+      session_t *s = q[i].of;
+      if (tenants && i == end)
+        {
+          while (end < n && q[end].w.rank == q[i].w.rank)
+            end++;
+          place_on_idle (v, &q[i], end - i);
+        }
+      if (!s->req.waiting || try_place (s, true)
           || refuse_hopeless (s, &q[i].w, ahead[s->req.needs_leader]))
         continue;
       ahead[0]++;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -224,6 +224,9 @@
   double kind_ms[FRESH_KINDS]; /* usual time of a statement at a database, by
                                   the freshness of its route; 0: unknown */
   flow_t flow;                 /* of WAITING */
+  fair_t fair;                 /* between the tenants in WAITING */
+  apr_hash_t *shares; /* fair_flow_t of each tenant that sent a statement;
+                         its address as the key */
 };
 
 /* ---- other instances ---- */
@@ -256,6 +259,8 @@
 {
   bool active;
   bool waiting;      /* queued in service_t.waiting */
+  fair_flow_t *flow; /* that it was queued under, with */
+  double queued_ms;  /* this time of its kind */
   bool needs_leader; /* only the primary can run it */
   bool read_only;    /* no side effects: may be repeated */
   bool sent;
@@ -377,7 +382,9 @@
   apr_hash_t *service_by_name;
   tenant_t *tenants;
   apr_hash_t *tenant_by_name;
-  link_t *closed_links; /* closed, freed at the next turn */
+  double rates;          /* of all tenants of SETUP */
+  int64_t rates_version; /* version of SETUP that they are of */
+  link_t *closed_links;  /* closed, freed at the next turn */
   watcher_t watch;
   apr_pool_t *setup_pool;
   setup_t *setup;
@@ -426,6 +433,12 @@
 /* tenants_update: follows a new configuration.  */
 void tenants_update (proxy_t *p);
 
+/* share.c */
+/* share_flow: what the tenant of S uses of the queue of its service.  */
+fair_flow_t *share_flow (session_t *s);
+/* share_of: the tenant's part of the rates of all, above 0.  */
+double share_of (proxy_t *p, const tenant_t *t);
+
 /* link.c */
 /* link_open: opens a connection to D for the tenant T, or NULL for none.  */
 bool link_open (proxy_t *p, db_t *d, tenant_t *t);
