proxy: instances of a zone begin with different owners

Each instance gave its sessions to the owners in turn, beginning with the first. An instance has about five sessions of a service, so the first and second of three owners got twice the sessions of the third.

--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -46,6 +46,8 @@
 {
   v->nowner = r->n;
   v->is_owner = false;
+  /* The instances of a zone begin with different owners.  */
+  v->next_owner = (int)(str_hash (p->conf.peers) % OWNERS_MAX);
   for (int i = 0; i < r->n; i++)
     {
       v->owner[i] = r->owner[i];
