--- a/include/rpc.h
+++ b/include/rpc.h
@@ -20,7 +20,8 @@
   RPC_MAX_LIST
   = 16384, /* records; bounds the memory that decoding a frame allocates */
   RPC_VERSION = 1,
-  RPC_SNAP_CHUNK = 256 << 10 /* bytes of a snapshot in one message */
+  RPC_SNAP_CHUNK = 256 << 10, /* bytes of a snapshot in one message */
+  API_KEY_MAX = 16 << 10      /* bytes of a tenant's key */
 };
 
 typedef enum
--- a/lib/rpc/check.c
+++ b/lib/rpc/check.c
@@ -6,9 +6,10 @@
 
 enum
 {
-  SLOTS_MAX = 100000,            /* statements at a time */
-  CONNECTIONS_MAX = 1000000,     /* to one database */
-  TIMEOUT_MAX = 24 * 3600 * 1000 /* ms */
+  SLOTS_MAX = 100000,             /* statements at a time */
+  CONNECTIONS_MAX = 1000000,      /* to one database */
+  TIMEOUT_MAX = 24 * 3600 * 1000, /* ms */
+  RATE_MAX = 1000000000           /* operations, of a quota */
 };
 
 /* Ids and names become words of line protocols: they contain neither blanks
@@ -118,5 +119,12 @@
       changed += bound (&v->connections, 1, CONNECTIONS_MAX);
       changed += bound (&v->sync_replicas, 0, INT32_MAX);
     }
+  for (size_t i = 0; i < s->tenants.n; i++)
+    {
+      tenant_entry_t *t = LIST_AT (s->tenants, tenant_entry_t, i);
+      changed += bound (&t->priority, 0, INT32_MAX);
+      changed += bound (&t->rate, 0, RATE_MAX);
+      changed += bound (&t->burst, 0, RATE_MAX);
+    }
   return changed;
 }
