proxy: callers are identified by their keys

No session had a tenant: databases were told the instance's name, and any caller was served. Now the rest of the start-up line is the caller's key; an unknown one gets NOAUTH and the end of the session. A forwarded start-up names the tenant, not the key; the other instance refuses with BUSY a tenant that its configuration doesn't have. An instance that starts takes no configuration with tenants from a control instance without a leader: a withdrawn key would work again.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -93,7 +93,7 @@
 {
   client_kind_t kind;
   str_t host;
-  str_t client; /* name that the client gives itself */
+  str_t client; /* rest of the start-up message: the caller's key */
   op_t op;
 } client_msg_t;
 
--- /dev/null
+++ b/lib/proxy/caller.c
@@ -0,0 +1,127 @@
+#include "local.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* The caller of a session and its tenant.  A client is identified by the key
+   of its start-up message, a forwarded session by the tenant's name that the
+   forwarding instance sends.  A key is a secret: it is compared and kept, and
+   written nowhere.  */
+
+enum
+{
+  LOG_INTERVAL = 1000 /* ms between log lines of refused callers */
+};
+
+void
+caller_keep_key (session_t *s, str_t key)
+{
+  free (s->key.p);
+  s->key = (str_t){ 0 };
+  /* No key is that long; a session doesn't keep a whole message.  */
+  if (key.n == 0 || key.n > API_KEY_MAX)
+    return;
+  s->key = (str_t){ malloc (key.n), key.n };
+  if (s->key.p == NULL)
+    abort ();
+  memcpy (s->key.p, key.p, key.n);
+}
+
+static bool
+caller_identify (const session_t *s, bool anonymous, tenant_t **t)
+{
+  const proxy_t *p = s->proxy;
+
+  *t = NULL;
+  /* The forwarding instance has checked the key; a name that this instance's
+     configuration doesn't have can't be served here.  */
+  if (s->from_peer && s->key.n)
+    return (*t = tenant_find (p, s->key)) != NULL;
+  if (!p->setup->tenanted || anonymous)
+    return true;
+  *t = s->from_peer ? NULL : tenant_of_key (p, s->key);
+  return *t != NULL;
+}
+
+static void
+log_refused (session_t *s)
+{
+  proxy_t *p = s->proxy;
+
+  counter_add (p->unknown_callers, 1);
+  p->callers_refused++;
+  if (p->caller_logged && p->now - p->caller_logged < LOG_INTERVAL)
+    return;
+  log_event (EV_CALLER_REFUSED,
+             "host=" STR_FMT " tenant=" STR_FMT
+             " forwarded=%d version=%lld refused=%d",
+             STR_ARG (s->host),
+             STR_ARG (s->tenant ? s->tenant->name : STR ("-")), s->from_peer,
+             (long long)p->setup->version, p->callers_refused);
+  p->caller_logged = p->now;
+  p->callers_refused = 0;
+}
+
+/* ASKED: a request awaits its answer.  */
+static void
+refuse (session_t *s, bool asked)
+{
+  fail_t f = s->from_peer ? FAIL_BUSY : FAIL_NOAUTH;
+  str_t why = s->from_peer ? STR ("unknown tenant") : STR ("unknown key");
+
+  log_refused (s);
+  session_tx_end (s);
+  /* The end of the session rolls back, here and at another instance.  */
+  s->proxy->conf.client->error (stream_out (s->stream), f, why);
+  if (asked)
+    session_send_ready (s);
+  session_end (s);
+}
+
+/* The caller belongs to another tenant now, whose statements run on other
+   connections.  */
+static void
+change_tenant (session_t *s, tenant_t *t)
+{
+  s->tx_lost |= s->tx == TX_OPEN && (s->forward || s->link);
+  forward_end (s);
+  if (s->link)
+    link_release (s->proxy, s->link);
+  s->tenant = t;
+}
+
+bool
+caller_start (session_t *s)
+{
+  if (!caller_identify (s, s->route.anonymous, &s->tenant))
+    {
+      refuse (s, false);
+      return false;
+    }
+  s->identified = s->proxy->setup->version;
+  return true;
+}
+
+bool
+caller_check (session_t *s, bool asked)
+{
+  proxy_t *p = s->proxy;
+  const route_entry_t *r = s->tx == TX_NONE ? route_find (p, s->host) : NULL;
+  tenant_t *t;
+
+  if (p->setup == NULL || s->identified == p->setup->version)
+    return true;
+  /* A changed route applies from the next transaction on.  */
+  if (r)
+    s->route.anonymous = r->anonymous;
+  if (!caller_identify (s, s->route.anonymous, &t))
+    {
+      refuse (s, asked);
+      return false;
+    }
+  if (t != s->tenant)
+    change_tenant (s, t);
+  if (s->tx == TX_NONE)
+    s->identified = p->setup->version;
+  return true;
+}
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -262,8 +262,11 @@
   apr_pool_destroy (pool);
 }
 
+/* Without a leader a control instance may have an old configuration.  An
+   instance that starts doesn't take one with keys from it: a withdrawn key
+   would work again.  */
 static void
-update_setup (proxy_t *p, str_t packed)
+update_setup (proxy_t *p, str_t packed, bool has_leader)
 {
   apr_pool_t *pool;
   msgtype_t type;
@@ -272,7 +275,8 @@
   apr_pool_create (&pool, p->pool);
   setup_t *n = rpc_decode (pool, packed, &type, &e);
   if (n == NULL || type != MSG_SETUP
-      || (p->setup && n->version <= p->setup->version))
+      || (p->setup && n->version <= p->setup->version)
+      || (p->setup == NULL && n->tenanted && !has_leader))
     {
       apr_pool_destroy (pool);
       return;
@@ -314,7 +318,7 @@
       && (n->has_leader || p->setup
           || p->now - p->started >= SETUP_NO_LEADER_DELAY))
     {
-      update_setup (p, n->setup);
+      update_setup (p, n->setup, n->has_leader);
       wake_at (p, p->now);
     }
   for (size_t i = 0; i < n->backends.n; i++)
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -62,7 +62,8 @@
 
   snprintf (pos, sizeof pos, "%lld.%lld", (long long)s->last_write.term,
             (long long)s->last_write.number);
-  c->startup (out, s->host, str_of (pos), (str_t){ 0 });
+  c->startup (out, s->host, str_of (pos),
+              s->tenant ? s->tenant->name : (str_t){ 0 });
   for (int i = 0; i < s->values.n; i++)
     {
       op.name = s->values.at[i].name;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -283,7 +283,10 @@
   stream_t *stream;
   str_t host; /* database name that the client asked for; empty before that;
                  on the heap */
+  str_t key;  /* the caller's key, or of a forwarded session the
+                 tenant's name; on the heap */
   tenant_t *tenant;   /* NULL: the route is anonymous or there are none */
+  int64_t identified; /* version of the configuration that gave TENANT */
   service_t *service; /* of the current transaction */
   tx_t tx;
   bool started;       /* its start-up message was accepted */
@@ -377,7 +380,10 @@
   apr_hash_t *service_by_name;
   tenant_t *tenants;
   apr_hash_t *tenant_by_name;
-  link_t *closed_links; /* closed, freed at the next turn */
+  apr_hash_t *tenant_by_key; /* of SETUP */
+  msec_t caller_logged;      /* last log line of a refused caller; 0: none */
+  int callers_refused;       /* since then */
+  link_t *closed_links;      /* closed, freed at the next turn */
   watcher_t watch;
   apr_pool_t *setup_pool;
   setup_t *setup;
@@ -391,6 +397,7 @@
   counter_t *opened;
   counter_t *gave_way;
   counter_t *forwarded;
+  counter_t *unknown_callers;
   counter_t *reads_replica;
   counter_t *reads_primary;
   counter_t *reads_near;
@@ -423,9 +430,21 @@
 /* tenant_find: the tenant NAME if the configuration in force has it, or
    NULL.  */
 tenant_t *tenant_find (const proxy_t *p, str_t name);
+/* tenant_of_key: the tenant that holds KEY, or NULL.  */
+tenant_t *tenant_of_key (const proxy_t *p, str_t key);
 /* tenants_update: follows a new configuration.  */
 void tenants_update (proxy_t *p);
 
+/* caller.c */
+/* caller_keep_key: keeps what a start-up message says of its caller.  */
+void caller_keep_key (session_t *s, str_t key);
+/* caller_start: identifies the caller of a session that starts.  False when it
+   is unknown and the session is closed.  */
+bool caller_start (session_t *s);
+/* caller_check: the same when the configuration has changed since; an open
+   transaction is then rolled back.  ASKED: a request awaits its answer.  */
+bool caller_check (session_t *s, bool asked);
+
 /* link.c */
 /* link_open: opens a connection to D for the tenant T, or NULL for none.  */
 bool link_open (proxy_t *p, db_t *d, tenant_t *t);
--- a/lib/proxy/metrics.c
+++ b/lib/proxy/metrics.c
@@ -16,6 +16,8 @@
   p->forwarded = counter_get ("pimentopost_forwarded_total",
                               "sessions whose statements run at another "
                               "instance");
+  p->unknown_callers = counter_get ("pimentopost_unknown_callers_total",
+                                    "sessions refused for their key");
   p->opened = counter_get ("pimentopost_connections_opened_total",
                            "connections opened to databases");
   p->gave_way = counter_get ("pimentopost_connections_gave_way_total",
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -52,6 +52,7 @@
   values_free (&s->prepared);
   buf_free (&s->req.text);
   free (s->host.p);
+  free (s->key.p);
   free (s);
 }
 
@@ -131,16 +132,20 @@
   return false;
 }
 
-/* A forwarding instance sends the position of the session's last write as the
-   client name.  */
+/* A forwarding instance sends the position of the session's last write and the
+   name of its tenant, which may be empty.  */
 static void
-parse_last_write (session_t *s, str_t client)
+parse_forwarded (session_t *s, str_t text)
 {
+  const char *blank = text.n ? memchr (text.p, ' ', text.n) : NULL;
+  str_t client = { text.p, blank ? (size_t)(blank - text.p) : text.n };
   const char *dot = client.n ? memchr (client.p, '.', client.n) : NULL;
   size_t n = dot ? (size_t)(dot - client.p) : 0;
   pos_t pos;
 
-  if (s->from_peer && dot && str_int ((str_t){ client.p, n }, &pos.term)
+  if (blank)
+    caller_keep_key (s, (str_t){ (char *)blank + 1, text.n - client.n - 1 });
+  if (dot && str_int ((str_t){ client.p, n }, &pos.term)
       && str_int ((str_t){ client.p + n + 1, client.n - n - 1 }, &pos.number))
     s->last_write = pos;
 }
@@ -156,6 +161,12 @@
     abort ();
   memcpy (s->host.p, host.p, host.n);
   use_route (s);
+  if (s->from_peer)
+    parse_forwarded (s, client);
+  else
+    caller_keep_key (s, client);
+  if (!caller_start (s))
+    return false;
   bool stopping = stop_phase (s->proxy, s->proxy->now) >= STOP_REFUSE;
   if (stopping || (s->from_peer && s->proxy->cut_off_at >= 0))
     {
@@ -166,7 +177,6 @@
       return false;
     }
   s->started = true;
-  parse_last_write (s, client);
   session_send_ready (s);
   return true;
 }
@@ -372,7 +382,7 @@
 void
 session_run_here (session_t *s, client_msg_t *m)
 {
-  if (run_op (s, &m->op) && !s->req.active)
+  if (caller_check (s, true) && run_op (s, &m->op) && !s->req.active)
     session_next (s);
 }
 
@@ -409,6 +419,8 @@
       str_t raw = { buf_str (stream_in (st)).p, used };
       bool op = m.kind == CLIENT_OP && s->started;
       bool open = true;
+      if (op && !caller_check (s, true))
+        return;
       if (op && stop_refuses (s, &m.op))
         open = stop_refuse (s, &m.op);
       else if (!op || !forward_needed (s, &m.op)
--- a/lib/proxy/sweep.c
+++ b/lib/proxy/sweep.c
@@ -80,10 +80,19 @@
   session_end (s);
 }
 
+/* Whether the caller of S may be refused: no answer of a database is due.  */
+static bool
+may_refuse (const session_t *s)
+{
+  return s->started && !(s->forward && s->forward->active)
+         && (!s->req.active || s->req.waiting);
+}
+
 static void
 sweep_one (session_t *s, msec_t now)
 {
-  if (start_expired (s, now))
+  if (start_expired (s, now)
+      || (may_refuse (s) && !caller_check (s, s->req.active)))
     return;
   if (s->forward)
     {
--- a/test/stage.c
+++ b/test/stage.c
@@ -272,6 +272,14 @@
     close_conn (d->list);
 }
 
+static void
+log_raw (dbconn_t *c, const char *text)
+{
+  size_t n = strlen (c->db->raw);
+
+  snprintf (c->db->raw + n, sizeof c->db->raw - n, "%s> %s\n", c->name, text);
+}
+
 /* False when the connection was closed.  */
 static bool
 query (dbconn_t *c, char *line)
@@ -319,9 +327,13 @@
 static bool
 line (dbconn_t *c, char *text)
 {
-  if (strncmp (text, "STARTUP ", 8) == 0)
+  bool start = strncmp (text, "STARTUP ", 8) == 0;
+
+  if (start)
+    ck_assert_int_eq (sscanf (text, "STARTUP %*s %31s", c->name), 1);
+  log_raw (c, text);
+  if (start)
     {
-      ck_assert_int_eq (sscanf (text, "STARTUP %*s %31s", c->name), 1);
       note_name (c, "STARTUP");
       if (c->db->ignore_startup)
         return true;
@@ -418,6 +430,41 @@
   stream_t *stream;
 } control_conn_t;
 
+/* Tenants in the order of their first key.  */
+static void
+list_tenants (const stage_t *s, setup_t *m)
+{
+  tenant_entry_t *t = apr_pcalloc (s->pool, (s->nkeys + 1) * sizeof *t);
+  api_key_t *k = apr_pcalloc (s->pool, (s->nkeys + 1) * sizeof *k);
+
+  static tenant_entry_t tenants[]
+      = { { .name = STR ("a"), .rate = 100, .burst = 10 },
+          { .name = STR ("b"), .rate = 100, .burst = 10 },
+          { .name = STR ("c"), .rate = 10, .burst = 10 } };
+  static api_key_t keys[]
+      = { { STR ("key-a"), 0 }, { STR ("key-b"), 1 }, { STR ("key-c"), 2 } };
+
+  m->tenanted = s->tenanted;
+  if (s->keys == NULL)
+    {
+      m->tenants = (list_t){ tenants, s->tenanted ? 3 : 0 };
+      m->keys = (list_t){ keys, s->tenanted ? 3 : 0 };
+      return;
+    }
+  for (size_t i = 0; i < s->nkeys; i++)
+    {
+      str_t name = str_of (s->keys[i].tenant);
+      size_t at = 0;
+      while (at < m->tenants.n && !str_eq (t[at].name, name))
+        at++;
+      if (at == m->tenants.n)
+        t[m->tenants.n++].name = name;
+      k[i] = (api_key_t){ str_of (s->keys[i].key), (int64_t)at };
+    }
+  m->tenants.v = t;
+  m->keys = (list_t){ k, s->nkeys };
+}
+
 static void
 put_setup (stage_t *s, buf_t *out)
 {
@@ -440,19 +487,13 @@
       n++;
     }
   service_entry_t v = { STR ("svc"), s->connections, s->sync_replicas };
-  tenant_entry_t t[] = { { .name = STR ("a"), .rate = 100, .burst = 10 },
-                         { .name = STR ("b"), .rate = 100, .burst = 10 },
-                         { .name = STR ("c"), .rate = 10, .burst = 10 } };
-  api_key_t k[]
-      = { { STR ("key-a"), 0 }, { STR ("key-b"), 1 }, { STR ("key-c"), 2 } };
   setup_t m = { .version = s->version,
-                .tenanted = s->tenanted,
-                .tenants = { t, s->tenanted ? 3 : 0 },
-                .keys = { k, s->tenanted ? 3 : 0 },
                 .tx_idle = s->tx_idle,
                 .routes = { r, n },
                 .services = { &v, 1 } };
 
+  r[1].anonymous = s->near_anonymous;
+  list_tenants (s, &m);
   rpc_pack (out, MSG_SETUP, &m);
 }
 
@@ -705,7 +746,8 @@
 }
 
 static proxy_t *
-new_proxy (stage_t *s, const char *name, int *port, const char *endpoint)
+new_proxy (stage_t *s, const char *name, int *port, const char *endpoint,
+           const char *listen)
 {
   str_t *ctl = apr_palloc (s->pool, 2 * sizeof *ctl);
   char own[32];
@@ -716,7 +758,7 @@
   proxy_conf_t c = { .name = str_of (name),
                      .zone = STR ("z1"),
                      .peers = str_of (endpoint),
-                     .peers_listen = str_of (endpoint),
+                     .peers_listen = str_of (listen),
                      .control = ctl,
                      .ncontrol = 2,
                      .grace = 6000,
@@ -778,7 +820,7 @@
 {
   stage_t *s = stage_base (wait);
 
-  s->proxy = new_proxy (s, "p1", &s->port, NULL);
+  s->proxy = new_proxy (s, "p1", &s->port, NULL, NULL);
   if (wait)
     ck_assert (stage_run (s, 3000, is_ready, s));
   return s;
@@ -792,25 +834,153 @@
   return proxy_ready (s->proxy) && proxy_ready (s->second);
 }
 
-stage_t *
-stage_pair (void)
+/* ---- what one instance sends to another ---- */
+
+/* Passes connections to an instance on and stores what they carry to it.  */
+typedef struct tap
+{
+  stage_t *stage;
+  int fd;
+  char listen[32]; /* of the instance */
+} tap_t;
+
+typedef struct half
+{
+  stage_t *stage;
+  stream_t *stream;
+  struct half *other;
+  bool store;
+} half_t;
+
+static void
+half_input (void *arg)
+{
+  half_t *h = arg;
+  stage_t *s = h->stage;
+  str_t in = buf_str (stream_in (h->stream));
+  size_t n = strlen (s->peer_bytes);
+
+  if (h->store)
+    snprintf (s->peer_bytes + n, sizeof s->peer_bytes - n, STR_FMT,
+              STR_ARG (in));
+  if (h->other)
+    {
+      buf_adds (stream_out (h->other->stream), in);
+      stream_flush (h->other->stream);
+    }
+  buf_take (stream_in (h->stream), in.n);
+}
+
+static void
+half_closed (void *arg, err_t *e)
+{
+  half_t *h = arg;
+
+  (void)e;
+  if (h->other)
+    {
+      stream_close (h->other->stream);
+      free (h->other);
+    }
+  free (h);
+}
+
+static const stream_ops_t half_ops = { NULL, half_input, half_closed };
+
+static void
+tap_accept (void *arg, uint32_t events)
+{
+  tap_t *t = arg;
+  int fd;
+
+  (void)events;
+  while ((fd = accept4 (t->fd, NULL, NULL, SOCK_NONBLOCK)) >= 0)
+    {
+      half_t *in = calloc (1, sizeof *in), *out = calloc (1, sizeof *out);
+      err_t e = { 0 };
+      *in = (half_t){ t->stage, NULL, out, true };
+      *out = (half_t){ t->stage, NULL, in, false };
+      out->stream = stream_dial (t->stage->loop, str_of (t->listen), 3000,
+                                 &half_ops, out, &e);
+      ck_assert (out->stream);
+      in->stream = stream_accept (t->stage->loop, fd, &half_ops, in);
+    }
+}
+
+/* Listens at the advertised address of instance I.  */
+static const char *
+tap_new (stage_t *s, int i)
+{
+  tap_t *t = apr_pcalloc (s->pool, sizeof *t);
+
+  t->stage = s;
+  t->fd = stage_listen (s->endpoint[i], sizeof s->endpoint[i]);
+  free_address (t->listen, sizeof t->listen);
+  loop_watch (s->loop, t->fd, tap_accept, t, NULL);
+  s->tap[i] = t;
+  return t->listen;
+}
+
+static stage_t *
+pair_new (bool tapped)
 {
   stage_t *s = stage_base (true);
+  const char *listen[2];
 
   s->connections = 10;
   s->entries = 40;
   for (int i = 0; i < 2; i++)
-    free_address (s->endpoint[i], sizeof s->endpoint[i]);
-  s->proxy = new_proxy (s, "p1", &s->port, s->endpoint[0]);
-  s->second = new_proxy (s, "p2", &s->second_port, s->endpoint[1]);
+    {
+      listen[i] = s->endpoint[i];
+      if (tapped)
+        listen[i] = tap_new (s, i);
+      else
+        free_address (s->endpoint[i], sizeof s->endpoint[i]);
+    }
+  s->proxy = new_proxy (s, "p1", &s->port, s->endpoint[0], listen[0]);
+  s->second = new_proxy (s, "p2", &s->second_port, s->endpoint[1], listen[1]);
   ck_assert (stage_run (s, 3000, is_pair, s));
   stage_run (s, 400, NULL, NULL);
   return s;
 }
 
+stage_t *
+stage_pair (void)
+{
+  return pair_new (false);
+}
+
+stage_t *
+stage_pair_tapped (void)
+{
+  return pair_new (true);
+}
+
+static bool
+has_version (void *arg)
+{
+  const stage_t *s = arg;
+
+  return s->proxy->setup->version == s->version
+         && (s->second == NULL || s->second->setup->version == s->version);
+}
+
+void
+stage_set_keys (stage_t *s, const stage_key_t *keys, size_t n)
+{
+  s->tenanted = true;
+  s->keys = keys;
+  s->nkeys = n;
+  s->version++;
+  ck_assert (stage_run (s, 3000, has_version, s));
+}
+
 void
 stage_free (stage_t *s)
 {
+  for (int i = 0; i < 2; i++)
+    if (s->tap[i])
+      close (s->tap[i]->fd);
   for (int i = 0; i < STAGE_DBS; i++)
     close (s->db[i].fd);
   close (s->control[0]);
--- a/test/stage.h
+++ b/test/stage.h
@@ -11,11 +11,19 @@
 enum
 {
   STAGE_DBS = 3,
-  STAGE_LOG = 4096
+  STAGE_LOG = 4096,
+  STAGE_RAW = 32768
 };
 
 typedef struct stage stage_t;
 
+/* A key of the configuration and its tenant.  */
+typedef struct
+{
+  const char *tenant;
+  const char *key;
+} stage_key_t;
+
 /* A simulated database, and what it does with the next statements.  */
 typedef struct
 {
@@ -43,6 +51,9 @@
   /* The same after the name that its connection was opened with, and a line
      "NAME STARTUP" for each connection.  */
   char by_name[STAGE_LOG];
+  /* Everything received, one a line, each after the caller that the start-up
+     message of its connection names: "t1> QUERY q1 READ 7".  */
+  char raw[STAGE_RAW];
 } stage_db_t;
 
 typedef struct
@@ -77,11 +88,18 @@
   bool roster_complete;    /* the control instances run for long enough */
   bool roster_changes;     /* later rosters are marked as changes */
   int64_t roster_reported; /* roster that the last report names */
-  bool tenanted;           /* the configuration has the tenants a, b, c */
   int64_t tx_idle;         /* ms */
   int64_t timeout;         /* of statements, ms */
   bool extra_route;
   const char *extra_host; /* of another route, or NULL */
+  /* The configuration has tenants: those of KEYS; without any the tenants a, b
+     and c with the keys key-a, key-b and key-c.  */
+  bool tenanted;
+  bool near_anonymous; /* the route "near" needs no key */
+  const stage_key_t *keys;
+  size_t nkeys;
+  struct tap *tap[2];         /* of stage_pair_tapped */
+  char peer_bytes[STAGE_RAW]; /* sent between the instances so far */
   msec_t until;
   bool (*done) (void *arg);
   void *arg;
@@ -97,6 +115,11 @@
 /* stage_pair: two instances of one zone that share fewer connections than
    instances; waits until both know each other.  */
 stage_t *stage_pair (void);
+/* stage_pair_tapped: the same, and stores what one instance sends to the other
+   in peer_bytes.  */
+stage_t *stage_pair_tapped (void);
+/* stage_set_keys: puts a new configuration with tenants and KEYS in force.  */
+void stage_set_keys (stage_t *s, const stage_key_t *keys, size_t n);
 /* stage_session_at: like stage_session, at the second instance if SECOND.  */
 stage_client_t *stage_session_at (stage_t *s, bool second, const char *host);
 void stage_free (stage_t *s);
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -91,6 +91,218 @@
 }
 END_TEST
 
+#define TENANTS(list)                                                         \
+  "{\"version\":3," SERVICES ",\"routes\":[],\"tenants\":" list "}"
+
+/* Guards against a configuration whose tenants can't be told apart, or are
+   lost for a wrong type, being acknowledged; against an error that doesn't
+   name the field; and against one that quotes a key.  */
+START_TEST (invalid_tenants_are_refused)
+{
+  static const struct
+  {
+    const char *body;
+    errcode_t code;
+    const char *field;
+  } bad[] = {
+    { TENANTS ("{}"), ERR_BAD_TYPE, "tenants" },
+    { TENANTS ("null"), ERR_BAD_TYPE, "tenants" },
+    { TENANTS ("[7]"), ERR_BAD_TYPE, "tenants[0].name" },
+    { TENANTS ("[{\"api-keys\":[]}]"), ERR_BAD_TYPE, "tenants[0].name" },
+    { TENANTS ("[{\"name\":7,\"api-keys\":[]}]"), ERR_BAD_TYPE,
+      "tenants[0].name" },
+    { TENANTS ("[{\"name\":\"\",\"api-keys\":[]}]"), ERR_RANGE,
+      "tenants[0].name" },
+    { TENANTS ("[{\"name\":\"a b\",\"api-keys\":[]}]"), ERR_RANGE,
+      "tenants[0].name" },
+    { TENANTS ("[{\"name\":\"a\"}]"), ERR_BAD_TYPE, "tenants[0].api-keys" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":\"secret\"}]"), ERR_BAD_TYPE,
+      "tenants[0].api-keys" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[\"secret\",7]}]"), ERR_BAD_TYPE,
+      "tenants[0].api-keys[1]" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[\"\"]}]"), ERR_BAD_TYPE,
+      "tenants[0].api-keys[0]" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[\"secret\\n\"]}]"), ERR_RANGE,
+      "tenants[0].api-keys[0]" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[\"secret\"]},"
+               "{\"name\":\"b\",\"api-keys\":[\"x\",\"secret\"]}]"),
+      ERR_DUPLICATE_KEY, "tenants[1].api-keys[1]" },
+    { TENANTS ("[{\"name\":\"secret\",\"api-keys\":[]},"
+               "{\"name\":\"secret\",\"api-keys\":[]}]"),
+      ERR_DUPLICATE_KEY, "tenants[1].name" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[],\"rate-per-s\":\"9\"}]"),
+      ERR_BAD_TYPE, "tenants[0]" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[],\"rate-per-s\":-1}]"),
+      ERR_RANGE, "tenants[0]" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[],\"burst\":[]}]"),
+      ERR_BAD_TYPE, "tenants[0]" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[],\"priority\":{}}]"),
+      ERR_BAD_TYPE, "tenants[0]" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[\"secret\" \"secret\"]}]"),
+      ERR_SYNTAX, "configuration" },
+    { TENANTS ("[{\"name\":\"a\",\"api-keys\":[secret]}]"), ERR_SYNTAX,
+      "configuration" },
+    { "{\"version\":3," SERVICES
+      ",\"routes\":[" ROUTE ("a", GOOD ",\"public\":\"secret\"") "]}",
+      ERR_BAD_TYPE, "public" },
+  };
+
+  for (size_t i = 0; i < sizeof bad / sizeof *bad; i++)
+    {
+      int64_t version;
+      err_t e = { 0 };
+      buf_t out;
+      char line[400];
+      buf_init (&out);
+      ck_assert_msg (
+          !pf_config_parse (pool, str_of (bad[i].body), &version, &out, &e),
+          "%s", bad[i].body);
+      err_line (&e, line, sizeof line);
+      ck_assert_msg (e.code == bad[i].code, "%s: %s", bad[i].body, line);
+      ck_assert_msg (strcmp (e.subject, bad[i].field) == 0, "%s: %s",
+                     bad[i].body, line);
+      ck_assert_msg (strstr (line, "secret") == NULL, "%s", line);
+      ck_assert_uint_eq (buf_len (&out), 0);
+      buf_free (&out);
+    }
+}
+END_TEST
+
+static setup_t *
+parse_setup (const char *body)
+{
+  int64_t version;
+  err_t e = { 0 };
+  msgtype_t type;
+  buf_t out;
+
+  buf_init (&out);
+  ck_assert_msg (pf_config_parse (pool, str_of (body), &version, &out, &e),
+                 "%s %s", e.subject, e.detail);
+  setup_t *s = rpc_decode (pool, buf_str (&out), &type, &e);
+  ck_assert (s && type == MSG_SETUP);
+  buf_free (&out);
+  return s;
+}
+
+static bool
+has_key (const setup_t *s, const char *key, int64_t tenant)
+{
+  for (size_t i = 0; i < s->keys.n; i++)
+    if (str_eq (LIST_AT (s->keys, api_key_t, i)->key, str_of (key)))
+      return LIST_AT (s->keys, api_key_t, i)->tenant == tenant;
+  return false;
+}
+
+/* Guards against tenants, keys or limits that are lost or changed on their way
+   from the document to the entry instances.  */
+START_TEST (tenants_are_read)
+{
+  const tenant_entry_t *t;
+  setup_t *s = parse_setup (
+      "{\"version\":3," SERVICES
+      ",\"routes\":[" ROUTE ("a", GOOD ",\"public\":true") "," ROUTE (
+          "b", GOOD
+          ",\"public\":false") "," ROUTE ("c",
+                                          GOOD) "],"
+                                                "\"tenants\":[{\"name\":"
+                                                "\"t1\",\"api-keys\":[\"k1\","
+                                                "\" k 2 \",\"k1\"],"
+                                                "\"priority\":2,\"rate-per-"
+                                                "s\":439,\"burst\":12.5},"
+                                                "{\"name\":\"t2\",\"api-"
+                                                "keys\":[],\"rate-per-s\":0.2}"
+                                                ","
+                                                "{\"name\":\"t3\",\"api-"
+                                                "keys\":[\"k3\"],\"later\":[]}"
+                                                "]}");
+
+  ck_assert (s->tenanted);
+  ck_assert_uint_eq (s->tenants.n, 3);
+  t = LIST_AT (s->tenants, tenant_entry_t, 0);
+  ck_assert (str_eq (t->name, STR ("t1")) && t->priority == 2 && t->rate == 439
+             && t->burst == 12);
+  t = LIST_AT (s->tenants, tenant_entry_t, 1);
+  /* A rate of 0 would be none.  */
+  ck_assert (str_eq (t->name, STR ("t2")) && t->rate == 1 && t->burst == 0);
+  ck_assert_uint_eq (s->keys.n, 3);
+  ck_assert (has_key (s, "k1", 0) && has_key (s, " k 2 ", 0)
+             && has_key (s, "k3", 2));
+  ck_assert (LIST_AT (s->routes, route_entry_t, 0)->anonymous);
+  ck_assert (!LIST_AT (s->routes, route_entry_t, 1)->anonymous);
+  ck_assert (!LIST_AT (s->routes, route_entry_t, 2)->anonymous);
+  ck_assert (
+      !parse_setup ("{\"version\":3," SERVICES ",\"routes\":[]}")->tenanted);
+  ck_assert (parse_setup (TENANTS ("[]"))->tenanted);
+}
+END_TEST
+
+/* Guards against a large set of keys that is refused or cut off, and against
+   one beyond the bounds that is acknowledged.  */
+START_TEST (many_and_long_keys_are_read)
+{
+  enum
+  {
+    MANY = 10000,
+    LONG = 4096
+  };
+  int64_t version;
+  err_t e = { 0 };
+  buf_t body, out;
+  char big[LONG + 1];
+
+  memset (big, 'k', LONG);
+  big[LONG] = '\0';
+  for (int over = 0; over < 2; over++)
+    {
+      int n = over ? RPC_MAX_LIST : MANY;
+      buf_init (&body);
+      buf_init (&out);
+      buf_adds (&body,
+                STR ("{\"version\":3," SERVICES ",\"routes\":[],\"tenants\":[{"
+                     "\"name\":\"t1\",\"api-keys\":["));
+      for (int i = 0; i < n; i++)
+        buf_fmt (&body, "\"key-%d\",", i);
+      buf_fmt (&body, "\"%s\"]}]}", big);
+      ck_assert_int_eq (
+          pf_config_parse (pool, buf_str (&body), &version, &out, &e), !over);
+      if (!over)
+        {
+          msgtype_t type;
+          setup_t *s = rpc_decode (pool, buf_str (&out), &type, &e);
+          ck_assert_uint_eq (s->keys.n, MANY + 1);
+          ck_assert (has_key (s, big, 0) && has_key (s, "key-9999", 0));
+        }
+      buf_free (&body);
+      buf_free (&out);
+    }
+  ck_assert_int_eq (e.code, ERR_TOO_LARGE);
+  char *longer = apr_pcalloc (pool, API_KEY_MAX + 256);
+  int n = snprintf (longer, API_KEY_MAX + 256,
+                    "{\"version\":3," SERVICES ",\"routes\":[],\"tenants\":[{"
+                    "\"name\":\"t1\",\"api-keys\":[\"");
+  memset (longer + n, 'k', API_KEY_MAX + 1);
+  strcpy (longer + n + API_KEY_MAX + 1, "\"]}]}");
+  buf_init (&out);
+  ck_assert (!pf_config_parse (pool, str_of (longer), &version, &out, &e));
+  ck_assert_int_eq (e.code, ERR_RANGE);
+  ck_assert_str_eq (e.subject, "tenants[0].api-keys[0]");
+}
+END_TEST
+
+static client_msg_t decode_client (const char *line);
+
+/* Guards against a key with blanks that is cut at the first one.  */
+START_TEST (key_is_the_rest_of_the_line)
+{
+  ck_assert (str_eq (decode_client ("STARTUP h  a key \r\n").client,
+                     STR (" a key ")));
+  ck_assert (str_eq (decode_client ("STARTUP h k\r\n").client, STR ("k")));
+  ck_assert_uint_eq (decode_client ("STARTUP h\r\n").client.n, 0);
+  ck_assert_uint_eq (decode_client ("STARTUP h \r\n").client.n, 0);
+}
+END_TEST
+
 static bool
 parse_heartbeat (const char *body, backend_t *b)
 {
@@ -302,6 +514,10 @@
   apr_pool_create (&pool, NULL);
   tcase_add_test (t, invalid_configurations_are_refused);
   tcase_add_test (t, long_hosts_are_not_duplicates);
+  tcase_add_test (t, invalid_tenants_are_refused);
+  tcase_add_test (t, tenants_are_read);
+  tcase_add_test (t, many_and_long_keys_are_read);
+  tcase_add_test (t, key_is_the_rest_of_the_line);
   tcase_add_test (t, invalid_heartbeats_are_refused);
   tcase_add_test (t, statements_are_forwarded_unchanged);
   tcase_add_test (t, reserved_words_are_refused);
