--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -298,7 +298,10 @@
   stream_t *stream;
   str_t host; /* database name that the client asked for; empty before that;
                  on the heap */
+  str_t key;  /* the caller's key, or of a forwarded session the
+                 tenant's name; on the heap */
   tenant_t *tenant;   /* NULL: the route is anonymous or there are none */
+  int64_t identified; /* version of the configuration that gave TENANT */
   service_t *service; /* of the current transaction */
   tx_t tx;
   bool started;       /* its start-up message was accepted */
@@ -444,7 +447,10 @@
   apr_hash_t *service_by_name;
   tenant_t *tenants;
   apr_hash_t *tenant_by_name;
-  bool has_quotas; /* a tenant of the configuration has a rate */
+  apr_hash_t *tenant_by_key; /* of SETUP */
+  msec_t caller_logged;      /* last log line of a refused caller; 0: none */
+  int callers_refused;       /* since then */
+  bool has_quotas;           /* a tenant of the configuration has a rate */
   gate_t *gate;
   double rates;          /* of all tenants of SETUP */
   int64_t rates_version; /* version of SETUP that they are of */
@@ -462,6 +468,7 @@
   counter_t *opened;
   counter_t *gave_way;
   counter_t *forwarded;
+  counter_t *unknown_callers;
   counter_t *reads_replica;
   counter_t *reads_primary;
   counter_t *reads_near;
@@ -494,6 +501,8 @@
 /* tenant_find: the tenant NAME if the configuration in force has it, or
    NULL.  */
 tenant_t *tenant_find (const proxy_t *p, str_t name);
+/* tenant_of_key: the tenant that holds KEY, or NULL.  */
+tenant_t *tenant_of_key (const proxy_t *p, str_t key);
 /* tenants_update: follows a new configuration.  */
 void tenants_update (proxy_t *p);
 
@@ -502,6 +511,15 @@
 fair_flow_t *share_flow (session_t *s);
 /* share_of: the tenant's part of the rates of all, above 0.  */
 double share_of (proxy_t *p, const tenant_t *t);
+/* caller.c */
+/* caller_keep_key: keeps what a start-up message says of its caller.  */
+void caller_keep_key (session_t *s, str_t key);
+/* caller_start: identifies the caller of a session that starts.  False when it
+   is unknown and the session is closed.  */
+bool caller_start (session_t *s);
+/* caller_check: the same when the configuration has changed since; an open
+   transaction is then rolled back.  ASKED: a request awaits its answer.  */
+bool caller_check (session_t *s, bool asked);
 
 /* link.c */
 /* link_open: opens a connection to D for the tenant T, or NULL for none.  */
