--- a/include/proxy.h
+++ b/include/proxy.h
@@ -311,7 +311,7 @@
 typedef struct
 {
   double clock;
-  fair_flow_t **busy; /* tenants of which statements wait */
+  fair_flow_t **busy; /* tenants of which statements wait: a heap by tag */
   int n;
   int cap;
 } fair_t;
--- a/lib/proxy/fair.c
+++ b/lib/proxy/fair.c
@@ -51,7 +51,40 @@
              : 0;
 }
 
-/* ---- arrivals and departures ---- */
+/* ---- the tenants that wait: a heap by tag ---- */
+
+static void
+put (fair_t *q, fair_flow_t *f, int at)
+{
+  q->busy[at] = f;
+  f->at = at;
+}
+
+static void
+sift_up (fair_t *q, fair_flow_t *f)
+{
+  int at = f->at;
+
+  for (int up; at > 0 && q->busy[up = (at - 1) / 2]->tag > f->tag; at = up)
+    put (q, q->busy[up], at);
+  put (q, f, at);
+}
+
+static void
+sift_down (fair_t *q, fair_flow_t *f)
+{
+  int at = f->at;
+
+  for (int next; (next = 2 * at + 1) < q->n; at = next)
+    {
+      if (next + 1 < q->n && q->busy[next + 1]->tag < q->busy[next]->tag)
+        next++;
+      if (q->busy[next]->tag >= f->tag)
+        break;
+      put (q, q->busy[next], at);
+    }
+  put (q, f, at);
+}
 
 static void
 busy_add (fair_t *q, fair_flow_t *f)
@@ -63,10 +96,24 @@
       if (q->busy == NULL)
         abort ();
     }
-  f->at = q->n;
-  q->busy[q->n++] = f;
+  put (q, f, q->n++);
+  sift_up (q, f);
 }
 
+static void
+busy_remove (fair_t *q, const fair_flow_t *f)
+{
+  fair_flow_t *last = q->busy[--q->n];
+
+  if (last == f)
+    return;
+  put (q, last, f->at);
+  sift_up (q, last);
+  sift_down (q, last);
+}
+
+/* ---- arrivals and departures ---- */
+
 void
 fair_arrived (fair_t *q, fair_flow_t *f, double share, double ms)
 {
@@ -84,10 +131,8 @@
 fair_left (fair_t *q, fair_flow_t *f, double ms)
 {
   f->backlog -= work (ms);
-  if (--f->waiting > 0)
-    return;
-  q->busy[f->at] = q->busy[--q->n];
-  q->busy[f->at]->at = f->at;
+  if (--f->waiting == 0)
+    busy_remove (q, f);
 }
 
 void
@@ -95,15 +140,16 @@
 {
   double start = tag_of (q, f), least = start;
 
-  for (int i = 0; i < q->n; i++)
-    if (q->busy[i]->tag < least)
-      least = q->busy[i]->tag;
+  if (q->n && q->busy[0]->tag < least)
+    least = q->busy[0]->tag;
   if (least < start - CLOCK_LAG)
     least = start - CLOCK_LAG;
   if (least > q->clock)
     q->clock = least;
   f->share = share;
   f->tag = start + work (ms) / share;
+  if (f->waiting)
+    sift_down (q, f);
 }
 
 void
