--- a/lib/proxy/attempt.c
+++ b/lib/proxy/attempt.c
@@ -41,10 +41,11 @@
 
   if (s->req.waiting)
     return;
-  s->req.flow = share_flow (s);
+  s->req.share = share_get (s);
   s->req.queued_ms = w.ms;
-  w.rank = fair_rank (&v->fair, s->req.flow);
-  fair_arrived (&v->fair, s->req.flow, share_of (s->proxy, s->tenant), w.ms);
+  w.rank = fair_rank (&v->fair, &s->req.share->flow);
+  fair_arrived (&v->fair, &s->req.share->flow, share_of (s->proxy, s->tenant),
+                w.ms);
   flow_arrived (&v->flow, (int)s->route.freshness, &w, s->proxy->now);
   s->next_waiting = v->waiting;
   v->waiting = s;
@@ -65,7 +66,7 @@
   if (*at)
     {
       *at = s->next_waiting;
-      fair_left (&s->service->fair, s->req.flow, s->req.queued_ms);
+      fair_left (&s->service->fair, &s->req.share->flow, s->req.queued_ms);
       if (--s->service->nwaiting == 0)
         flow_empty (&s->service->flow);
     }
@@ -153,14 +154,19 @@
   request_t *r = &s->req;
   link_t *k = link_acquire (d, s, p->now);
   msec_t left = r->deadline - p->now;
+  share_t *x = share_get (s);
 
   if (r->waiting)
     flow_started (&s->service->flow, p->now);
   statement_dequeue (s);
-  fair_ran (&s->service->fair, share_flow (s), share_of (p, s->tenant),
+  fair_ran (&s->service->fair, &x->flow, share_of (p, s->tenant),
             s->service->kind_ms[s->route.freshness]);
   if (r->attempts++ == 0)
-    metrics_started (s);
+    {
+      metrics_started (s);
+      counter_add (x->started, 1);
+      counter_add (x->wait_ms, p->now - r->arrived);
+    }
   memcpy (r->last_db, d->id, sizeof r->last_db);
   r->attempt_end = r->read_only && s->tx == TX_NONE
                        ? p->now + read_timeout (d, left)
@@ -246,6 +252,7 @@
 {
   if (!waiter_hopeless (w, &s->service->flow, ahead, s->proxy->now))
     return false;
+  counter_add (s->req.share->refused, 1);
   refuse_waiting (s, "too many statements wait");
   return true;
 }
@@ -281,8 +288,9 @@
   if (q == NULL)
     abort ();
   for (session_t *s = v->waiting; s; s = s->next_waiting)
-    q[n++]
-        = (fair_waiter_t){ .w = waiter_of (s), .flow = s->req.flow, .of = s };
+    q[n++] = (fair_waiter_t){ .w = waiter_of (s),
+                              .flow = &s->req.share->flow,
+                              .of = s };
   fair_order (&v->fair, q, n, p->now);
   for (int i = 0; i < n; i++)
     {
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -144,8 +144,19 @@
   int64_t burst; /* operations beyond that at once */
   int64_t setup_version; /* last configuration that contains it */
   quota_use_t *use;      /* its quota at this instance; NULL: not used yet */
+  bool labelled;         /* it has metrics of its own */
 };
 
+/* A tenant's use of the queue of a service.  */
+typedef struct
+{
+  const tenant_t *tenant;
+  fair_flow_t flow;
+  counter_t *started;
+  counter_t *wait_ms;
+  counter_t *refused;
+} share_t;
+
 struct link
 {
   link_t *next; /* in the database's list */
@@ -228,8 +239,7 @@
                                   the freshness of its route; 0: unknown */
   flow_t flow;                 /* of WAITING */
   fair_t fair;                 /* between the tenants in WAITING */
-  apr_hash_t *shares; /* fair_flow_t of each tenant that sent a statement;
-                         its address as the key */
+  apr_hash_t *shares;          /* share_t by the address of the tenant */
 };
 
 /* ---- other instances ---- */
@@ -263,7 +273,7 @@
 {
   bool active;
   bool waiting;      /* queued in service_t.waiting */
-  fair_flow_t *flow; /* that it was queued under, with */
+  share_t *share;    /* that it was queued under, with */
   double queued_ms;  /* this time of its kind */
   bool needs_leader; /* only the primary can run it */
   bool read_only;    /* no side effects: may be repeated */
@@ -452,9 +462,10 @@
   int callers_refused;       /* since then */
   bool has_quotas;           /* a tenant of the configuration has a rate */
   gate_t *gate;
-  double rates;          /* of all tenants of SETUP */
-  int64_t rates_version; /* version of SETUP that they are of */
-  link_t *closed_links;  /* closed, freed at the next turn */
+  double rates;              /* of all tenants of SETUP */
+  int64_t rates_version;     /* version of SETUP that they are of */
+  int nlabelled;             /* tenants that have metrics of their own */
+  link_t *closed_links;      /* closed, freed at the next turn */
   watcher_t watch;
   apr_pool_t *setup_pool;
   setup_t *setup;
@@ -521,6 +532,12 @@
    transaction is then rolled back.  ASKED: a request awaits its answer.  */
 bool caller_check (session_t *s, bool asked);
 
+/* share.c */
+/* share_get: what the tenant of S uses of the queue of its service.  */
+share_t *share_get (session_t *s);
+/* share_of: the tenant's part of the rates of all, above 0.  */
+double share_of (proxy_t *p, const tenant_t *t);
+
 /* link.c */
 /* link_open: opens a connection to D for the tenant T, or NULL for none.  */
 bool link_open (proxy_t *p, db_t *d, tenant_t *t);
--- a/test/test_tenants_pool.c
+++ b/test/test_tenants_pool.c
@@ -94,6 +94,33 @@
 }
 END_TEST
 
+static int64_t
+started (const char *label)
+{
+  char name[96];
+
+  snprintf (name, sizeof name,
+            "pimentopost_tenant_started_total{tenant=\"%s\"}", label);
+  return counter_value (counter_get (name, ""));
+}
+
+/* Guards against a metric for each of thousands of tenants: only those with
+   the mean rate at least have their own.  */
+START_TEST (small_tenants_share_a_metric)
+{
+  stage_t *s = tenants_new (4);
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *c = tenant_session (s, "lead", "c");
+
+  ASK (a, "QUERY a1 WRITE 7 x\r\n", "COMPLETE");
+  ASK (c, "QUERY c1 WRITE 7 x\r\n", "COMPLETE");
+  ck_assert_int_eq (started ("a"), 1);
+  ck_assert_int_eq (started ("c"), 0);
+  ck_assert_int_eq (started ("other"), 1);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against settings and prepared statements of one tenant that another
    meets, and against ones that are lost with a connection that gave way.  */
 START_TEST (settings_survive_a_change_of_tenant)
@@ -476,6 +503,7 @@
 
   tcase_set_timeout (t, 20);
   tcase_add_test (t, connection_serves_one_tenant);
+  tcase_add_test (t, small_tenants_share_a_metric);
   tcase_add_test (t, settings_survive_a_change_of_tenant);
   tcase_add_test (t, least_recently_used_gives_way);
   tcase_add_test (t, pinned_connection_never_gives_way);
