--- a/test/test_tenants_pool.c
+++ b/test/test_tenants_pool.c
@@ -39,8 +39,6 @@
   snprintf (text, sizeof text, "STARTUP %s key-%s\r\n", host, tenant);
   ck_assert_msg (stage_request (c, text, "READY I -\r\n"), "got: %s",
                  c->received);
-  /* The newest session is the first in the list.  */
-  s->proxy->sessions->tenant = tenant_get (s->proxy, str_of (tenant));
   return c;
 }
 
