proxy: reads stay off a primary that runs statements

In a burst the replicas' connections are all busy for moments, and each time a read took an idle connection to the primary: its slots filled, and the statements that only it can run came late or were refused by its queue. A read now goes there only while this instance runs nothing there, or if no other database can run it.

Test: reads_stay_off_a_primary_in_use, which fails without the change.

--- a/lib/proxy/place.c
+++ b/lib/proxy/place.c
@@ -59,22 +59,32 @@
   return s->open == 0 && s->opening == 0;
 }
 
+/* Whether a read may go to S now.  At a primary that runs statements it would
+   take a slot that these need, unless S alone can run it.  */
+static bool
+suits_read (const candidate_t *s, bool alone)
+{
+  return alone || !s->leader || s->busy == 0;
+}
+
 place_t
 place_read (const candidate_t *s, int n)
 {
   int best = -1, idle = -1, grow = -1, usable = 0;
   msec_t old = idle_min (s, n);
 
+  for (int i = 0; i < n; i++)
+    usable += s[i].usable;
   for (int i = 0; i < n; i++)
     {
       if (!s[i].usable)
         continue;
-      usable++;
       if (best < 0 || cost (&s[i]) < cost (&s[best]))
         best = i;
-      if (s[i].idle && (idle < 0 || cost (&s[i]) < cost (&s[idle])))
+      if (s[i].idle && suits_read (&s[i], usable == 1)
+          && (idle < 0 || cost (&s[i]) < cost (&s[idle])))
         idle = i;
-      if (can_open (&s[i], old)
+      if (can_open (&s[i], old) && suits_read (&s[i], usable == 1)
           && (grow < 0 || cost (&s[i]) < cost (&s[grow])))
         grow = i;
     }
--- a/test/test_fleet.c
+++ b/test/test_fleet.c
@@ -84,6 +84,42 @@
 }
 END_TEST
 
+/* Guards against reads that take the primary's slots from the writes in a
+   burst: whenever the replicas' connections were busy for a moment, reads went
+   to the primary beside the statements that only it can run.  */
+START_TEST (reads_stay_off_a_primary_in_use)
+{
+  candidate_t s[2] = {
+    { .leader = true,
+      .same_zone = true,
+      .usable = true,
+      .idle = 1,
+      .open = 2,
+      .limit = 2,
+      .busy = 1,
+      .ms = 10 },
+    { .same_zone = true,
+      .usable = true,
+      .open = 1,
+      .limit = 1,
+      .busy = 1,
+      .ms = 10 },
+  };
+
+  ck_assert_int_eq (place_read (s, 2).kind, PLACE_WAIT);
+  /* Nor is a connection opened there for them.  */
+  s[0].limit = 3;
+  ck_assert_int_eq (place_read (s, 2).kind, PLACE_WAIT);
+  s[0].busy = 0;
+  ck_assert_int_eq (place_read (s, 2).kind, PLACE_USE);
+  ck_assert_int_eq (place_read (s, 2).at, 0);
+  /* With no other database it runs there.  */
+  s[0].busy = 1;
+  s[1].usable = false;
+  ck_assert_int_eq (place_read (s, 2).kind, PLACE_USE);
+}
+END_TEST
+
 /* Guards against many connections being opened at once: each occupies a slot
    of the database for a while.  */
 START_TEST (one_connection_is_opened_at_a_time)
@@ -768,6 +804,7 @@
   tcase_add_test (t, oldest_fresh_sample_is_used);
   tcase_add_test (t, later_term_drops_older_positions);
   tcase_add_test (t, reads_prefer_near_replicas);
+  tcase_add_test (t, reads_stay_off_a_primary_in_use);
   tcase_add_test (t, one_connection_is_opened_at_a_time);
   tcase_add_test (t, late_heartbeat_changes_nothing);
   tcase_add_test (t, late_heartbeat_does_not_reactivate);
