proxy: an owner keeps fewer connections for concurrent statements

Nine owners with two connections each sent up to 18 statements to a database of five slots. What waits there waits by arrival, and a transaction of four statements waits four times; at the owner it waits by target, priority and work.

--- a/lib/proxy/candidates.c
+++ b/lib/proxy/candidates.c
@@ -25,11 +25,12 @@
 
 /* Number of connections for concurrent statements: one if every instance opens
    its own; for an owner, which runs the statements of many, one more than
-   twice its share of the database's slots.  */
+   its share of the database's slots.  More would wait in the queue of the
+   database, which knows no priority.  */
 static int
 wanted (proxy_t *p, service_t *v, const db_t *d)
 {
-  return service_has_owners (p, v) ? 1 + 2 * d->slots / service_sharers (p, v)
+  return service_has_owners (p, v) ? 1 + d->slots / service_sharers (p, v)
                                    : 1;
 }
 
