quota: a hand-over of accountants stays within the limit

Change: an instance is the first accountant of a tenant only when it has heard from control for 700 ms since the list that made it the first, or since its last freeze; before, it grants a part, for 2.2 s of each 5. Its bucket is empty when it becomes the first. A list of less than half as many instances is followed after 2 s. An ask is given up after 300 ms, since a lost segment is sent again after 200. New buckets of an established accountant have been filling: the first burst of an idle tenant isn't refused.

--- a/include/quota.h
+++ b/include/quota.h
@@ -21,7 +21,10 @@
   QUOTA_FREEZE = 500,      /* ms between two turns after which buckets empty */
   QUOTA_RETRY_MIN = 20,    /* ms that a holder without tokens waits at least */
   QUOTA_RETRY_MAX = 5000,  /* and at most */
-  QUOTA_RANKS = 3,         /* accountants that are asked one after the other */
+  QUOTA_SETTLE = 700, /* ms of contact with control after which others have
+                         a change of the list of instances too */
+  QUOTA_LISTS = 3,    /* earlier lists of instances that are kept */
+  QUOTA_RANKS = 2,    /* accountants that are asked one after the other */
   QUOTA_BUCKETS_MAX = 16384 /* tenants of one accountant */
 };
 
@@ -43,6 +46,7 @@
   int64_t version; /* of the configuration */
   double rate;     /* tokens a second */
   double capacity; /* tokens */
+  double second;   /* part of RATE of an accountant that isn't the first */
 } quota_limit_t;
 
 /* quota_limit: the part of one zone of RATE operations a second and BURST.  */
@@ -55,6 +59,20 @@
 
 typedef struct quota_table quota_table_t;
 
+/* Standing of an accountant for a tenant.  Each instance knows a list of the
+   instances of its zone; they can differ for a while after a change.  */
+typedef struct
+{
+  bool first;      /* it is the one that counts by its list, */
+  msec_t since;    /* without a break since that list */
+  msec_t heard_at; /* last news from control, which would have changed it */
+} quota_standing_t;
+
+/* quota_is_second: whether another instance may count too: AT isn't the first,
+   or hasn't heard for long from control since it became the first or woke
+   from a freeze at FROZEN_AT.  */
+bool quota_is_second (const quota_standing_t *at, msec_t frozen_at);
+
 typedef struct
 {
   int tokens;
@@ -69,11 +87,12 @@
 void quota_table_turn (quota_table_t *t, msec_t now);
 /* quota_table_ask: takes back RETURNED tokens, then grants up to NEED, and a
    part of what is left, up to MORE.  LIMIT replaces that of an older
-   configuration; the bucket of a new tenant starts with little more than one
-   token.  SECOND: another accountant may count for the tenant too.  */
+   configuration.  A bucket is empty when the accountant becomes the first; a
+   new one of another accountant starts with little more than one token.  */
 quota_answer_t quota_table_ask (quota_table_t *t, str_t tenant,
-                                const quota_limit_t *limit, bool second,
-                                int need, int more, int returned, msec_t now);
+                                const quota_limit_t *limit,
+                                const quota_standing_t *at, int need, int more,
+                                int returned, msec_t now);
 /* quota_table_bytes: memory of T.  quota_table_size: number of buckets.  */
 size_t quota_table_bytes (const quota_table_t *t);
 size_t quota_table_size (const quota_table_t *t);
--- a/lib/proxy/accountant.c
+++ b/lib/proxy/accountant.c
@@ -1,6 +1,7 @@
 #include "local.h"
 
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 
 /* The accountant's side of quotas: other instances of the zone ask it for
@@ -8,8 +9,10 @@
 
 enum
 {
-  ASK_MAX = 4096,     /* bytes of an ask */
-  TOKENS_MAX = 100000 /* in one ask */
+  ASK_MAX = 4096,      /* bytes of an ask */
+  TOKENS_MAX = 100000, /* in one ask */
+  SHRUNK_TIME = 2000   /* ms that a list of less than half as many instances
+                          as before isn't followed */
 };
 
 typedef struct
@@ -18,28 +21,120 @@
   stream_t *stream;
 } holder_t;
 
-int
-accountant_rank (const proxy_t *p, str_t tenant, int *out)
+/* ---- the instances of the zone ---- */
+
+static msec_t
+avoided_until (const gate_t *g, const char *address)
 {
-  str_t *address = calloc (p->nendpoint + 1, sizeof *address);
+  for (size_t i = 0; i < g->nendpoint; i++)
+    if (strcmp (g->endpoint[i].address, address) == 0)
+      return g->endpoint[i].avoid_until;
+  return 0;
+}
 
-  if (address == NULL)
+/* After a start, control lists instances as they report.  Each of them would
+   count the whole quota until it knows the others.  */
+static bool
+is_partial (proxy_t *p)
+{
+  gate_t *g = p->gate;
+
+  if (p->nendpoint * 2 >= g->nendpoint)
+    {
+      g->shrunk_at = -1;
+      return false;
+    }
+  if (g->shrunk_at < 0)
+    g->shrunk_at = p->now;
+  return p->now - g->shrunk_at < SHRUNK_TIME;
+}
+
+static bool
+is_same_list (const proxy_t *p)
+{
+  const gate_t *g = p->gate;
+
+  for (size_t i = 0; i < p->nendpoint && i < g->nendpoint; i++)
+    if (!endpoint_listed (p, g->endpoint[i].address))
+      return false;
+  return p->nendpoint == g->nendpoint;
+}
+
+void
+accountants_update (proxy_t *p)
+{
+  gate_t *g = p->gate;
+  endpoint_entry_t *v;
+
+  if (g->followed == p->endpoints_version || is_partial (p))
+    return;
+  g->followed = p->endpoints_version;
+  if (is_same_list (p))
+    return;
+  v = calloc (p->nendpoint + 1, sizeof *v);
+  if (v == NULL)
     abort ();
   for (size_t i = 0; i < p->nendpoint; i++)
-    address[i] = str_of (p->endpoint[i].address);
-  int n = owners_pick (tenant, address, (int)p->nendpoint, QUOTA_RANKS, out);
+    {
+      v[i] = p->endpoint[i];
+      v[i].avoid_until = avoided_until (g, v[i].address);
+    }
+  free (g->earlier[QUOTA_LISTS - 1].endpoint);
+  memmove (&g->earlier[1], &g->earlier[0],
+           (QUOTA_LISTS - 1) * sizeof *g->earlier);
+  g->earlier[0] = (accountants_t){ g->endpoint, g->nendpoint, g->since };
+  g->since = p->now;
+  g->endpoint = v;
+  g->nendpoint = p->nendpoint;
+  g->version++;
+  g->shrunk_at = -1;
+}
+
+static int
+rank_among (const endpoint_entry_t *x, size_t n, str_t tenant, int *out)
+{
+  str_t *address = calloc (n + 1, sizeof *address);
+
+  if (address == NULL)
+    abort ();
+  for (size_t i = 0; i < n; i++)
+    address[i] = str_of (x[i].address);
+  int k = owners_pick (tenant, address, (int)n, QUOTA_RANKS, out);
   free (address);
-  return n;
+  return k;
+}
+
+int
+accountant_rank (const proxy_t *p, str_t tenant, int *out)
+{
+  return rank_among (p->gate->endpoint, p->gate->nendpoint, tenant, out);
 }
 
-/* Whether another instance counts for TENANT as far as is known here.  */
 static bool
-is_second (const proxy_t *p, str_t tenant)
+is_first (const proxy_t *p, const endpoint_entry_t *x, size_t n, str_t tenant)
 {
   int rank[QUOTA_RANKS];
 
-  return accountant_rank (p, tenant, rank) > 0
-         && !str_eq (str_of (p->endpoint[rank[0]].address), p->conf.peers);
+  return rank_among (x, n, tenant, rank) > 0
+         && str_eq (str_of (x[rank[0]].address), p->conf.peers);
+}
+
+static quota_standing_t
+standing (const proxy_t *p, str_t tenant)
+{
+  const gate_t *g = p->gate;
+  msec_t since = g->since;
+
+  if (g->nendpoint == 0)
+    return (quota_standing_t){ true, 0, p->now };
+  for (int i = 0; i < QUOTA_LISTS; i++)
+    if (g->earlier[i].endpoint
+        && is_first (p, g->earlier[i].endpoint, g->earlier[i].n, tenant))
+      since = g->earlier[i].since;
+    else
+      break;
+  return (quota_standing_t){ is_first (p, g->endpoint, g->nendpoint, tenant),
+                             since, p->watch.updated_at };
 }
 
 static int
@@ -60,15 +155,15 @@
 
   if (t && t->setup_version > m->version)
     l = quota_limit (&p->conf.quota, t->setup_version, t->rate, t->burst);
-  if (p->nendpoint == 0)
+  if (p->gate->nendpoint == 0)
     {
       /* Each instance counts alone.  */
       int all = p->entries > 0 ? p->entries : ENTRIES_DEFAULT * zones;
       l = quota_limit_part (&l, (all + zones - 1) / zones);
     }
+  quota_standing_t at = standing (p, m->tenant);
   quota_table_turn (p->gate->table, p->now);
-  return quota_table_ask (p->gate->table, m->tenant, &l,
-                          is_second (p, m->tenant), tokens (m->need),
+  return quota_table_ask (p->gate->table, m->tenant, &l, &at, tokens (m->need),
                           tokens (m->more), tokens (m->returned), p->now);
 }
 
@@ -78,7 +173,8 @@
 answer (holder_t *h, const quota_ask_t *m)
 {
   proxy_t *p = h->proxy;
-  bool stopping = p->stop_at >= 0;
+  /* Without a list it doesn't know who counts.  */
+  bool stopping = p->stop_at >= 0 || p->gate->nendpoint == 0;
   quota_answer_t a = { 0 };
 
   if (!stopping)
@@ -154,6 +250,7 @@
   gate_t *g = p->gate;
 
   g->listener = -1;
+  g->shrunk_at = -1;
   if (p->conf.quota_listen.n == 0)
     return true;
   g->listener = rpc_listen (p->conf.quota_listen, e);
--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -230,10 +230,7 @@
         continue;
       str_copy (v[n].address, sizeof v->address, a);
       if (at >= 0)
-        {
-          v[n].avoid_until = p->endpoint[at].avoid_until;
-          v[n].quota_avoid_until = p->endpoint[at].quota_avoid_until;
-        }
+        v[n].avoid_until = p->endpoint[at].avoid_until;
       n++;
     }
   endpoints_replace (p, v, n);
--- a/lib/proxy/gate.c
+++ b/lib/proxy/gate.c
@@ -10,9 +10,9 @@
 
 enum
 {
-  ASK_TIMEOUT = 150, /* ms without an answer: the next accountant is asked; a
-                        process with a part of a core stands still for up to
-                        90 ms */
+  ASK_TIMEOUT = 300, /* ms without an answer: the next accountant is asked.  A
+                        lost segment is sent again after 200 ms, and a process
+                        with a part of a core stands still for up to 90.  */
   ACCOUNTANT_BACKOFF = 1000, /* ms that a lost accountant isn't asked */
   PEER_ACK_TIMEOUT = 500,
   ANSWER_MAX = 4096,         /* bytes */
@@ -55,6 +55,7 @@
 log_refusals (proxy_t *p, quota_use_t *u, msec_t wait)
 {
   const tenant_t *t = u->tenant;
+  bool known = u->nrank && u->rank_version == p->gate->version;
 
   if (u->logged_at && p->now - u->logged_at < LOG_INTERVAL)
     return;
@@ -64,7 +65,7 @@
              STR_ARG (t->name), (long long)t->rate, (long long)t->burst,
              (long long)t->setup_version, (long long)(u->refused - u->logged),
              (long long)u->admitted, (long long)wait,
-             u->nrank ? p->endpoint[u->rank[0]].address : "-");
+             known ? p->gate->endpoint[u->rank[0]].address : "-");
   u->logged_at = p->now;
   u->logged = u->refused;
 }
@@ -202,16 +203,16 @@
 static endpoint_entry_t *
 pick (proxy_t *p, quota_use_t *u)
 {
-  if (u->rank_version != p->endpoints_version)
+  if (u->rank_version != p->gate->version)
     {
       u->nrank = accountant_rank (p, u->tenant->name, u->rank);
-      u->rank_version = p->endpoints_version;
+      u->rank_version = p->gate->version;
     }
   for (int i = 0; i < u->nrank; i++)
     {
-      endpoint_entry_t *x = &p->endpoint[u->rank[i]];
+      endpoint_entry_t *x = &p->gate->endpoint[u->rank[i]];
       bool self = str_eq (str_of (x->address), p->conf.peers);
-      if (x->quota_avoid_until <= p->now && !(self && p->stop_at >= 0))
+      if (x->avoid_until <= p->now && !(self && p->stop_at >= 0))
         return x;
     }
   return NULL;
@@ -237,9 +238,9 @@
   quota_use_t *asked = k->asked;
 
   log_event (EV_ACCOUNTANT_LOST, "instance=%s cause=%s", k->address, cause);
-  for (size_t i = 0; i < p->nendpoint; i++)
-    if (strcmp (p->endpoint[i].address, k->address) == 0)
-      p->endpoint[i].quota_avoid_until = p->now + ACCOUNTANT_BACKOFF;
+  for (size_t i = 0; i < p->gate->nendpoint; i++)
+    if (strcmp (p->gate->endpoint[i].address, k->address) == 0)
+      p->gate->endpoint[i].avoid_until = p->now + ACCOUNTANT_BACKOFF;
   while (*at != k)
     at = &(*at)->next;
   *at = k->next;
@@ -392,7 +393,7 @@
   for (;;)
     {
       endpoint_entry_t *x = pick (p, u);
-      bool here = p->nendpoint == 0
+      bool here = p->gate->nendpoint == 0
                   || (x && str_eq (str_of (x->address), p->conf.peers));
       quota_peer_t *k = x && !here ? peer_to (p, x) : NULL;
       if (u->tried >= QUOTA_RANKS || (!here && x == NULL))
@@ -402,7 +403,7 @@
         }
       if (!here && k == NULL)
         {
-          x->quota_avoid_until = p->now + ACCOUNTANT_BACKOFF;
+          x->avoid_until = p->now + ACCOUNTANT_BACKOFF;
           u->tried++;
           continue;
         }
@@ -506,6 +507,7 @@
   quota_peer_t *next;
 
   quota_table_turn (p->gate->table, now);
+  accountants_update (p);
   for (quota_peer_t *k = p->gate->peers; k; k = next)
     {
       next = k->next;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -247,8 +247,7 @@
 typedef struct
 {
   char address[NAME_SIZE];
-  msec_t avoid_until;       /* gets no sessions before this time, */
-  msec_t quota_avoid_until; /* and no asks for quotas */
+  msec_t avoid_until; /* gets no sessions before this time */
 } endpoint_entry_t;
 
 /* Forwarding of a session's statements to another instance.  */
@@ -349,9 +348,9 @@
   session_t *waiting;      /* for an answer, in the order of arrival */
   session_t **waiting_end;
   int nwaiting;
-  int rank[QUOTA_RANKS]; /* endpoints of the accountants */
+  int rank[QUOTA_RANKS]; /* accountants, places in gate_t.endpoint */
   int nrank;
-  int64_t rank_version; /* endpoints_version that RANK is from */
+  int64_t rank_version; /* gate_t.version that RANK is from */
   int tried;            /* accountants asked in vain for those that wait */
   int64_t peer;         /* accountant of the last ask; 0: this instance */
   int64_t admitted;
@@ -372,10 +371,27 @@
   quota_use_t **asked_end;
 };
 
+/* An earlier list of the instances that may be accountants.  */
+typedef struct
+{
+  endpoint_entry_t *endpoint; /* NULL: none */
+  size_t n;
+  msec_t since;
+} accountants_t;
+
 struct gate
 {
   quota_table_t *table;
   int listener;
+  /* Instances that may be accountants, the endpoints of the zone; AVOID_UNTIL:
+     no asks before this time.  */
+  endpoint_entry_t *endpoint;
+  size_t nendpoint;
+  msec_t since;     /* these are known */
+  int64_t version;  /* counts changes of these */
+  int64_t followed; /* endpoints_version that they are from */
+  accountants_t earlier[QUOTA_LISTS]; /* the latest first */
+  msec_t shrunk_at; /* control lists much fewer since then; -1: no */
   apr_pool_t *scratch;
   quota_peer_t *peers;
   int64_t last_id;
@@ -671,8 +687,10 @@
 bool accountant_new (proxy_t *p, err_t *e);
 /* accountant_ask: asks this instance itself.  */
 quota_answer_t accountant_ask (proxy_t *p, const quota_ask_t *m);
-/* accountant_rank: the places among the endpoints of the accountants of
-   TENANT, at most QUOTA_RANKS, by their rank; returns their number.  */
+/* accountants_update: follows the endpoints of the zone.  */
+void accountants_update (proxy_t *p);
+/* accountant_rank: the places in gate_t.endpoint of the accountants of TENANT,
+   at most QUOTA_RANKS, by their rank; returns their number.  */
 int accountant_rank (const proxy_t *p, str_t tenant, int *out);
 
 /* forward.c */
--- a/lib/quota/table.c
+++ b/lib/quota/table.c
@@ -8,14 +8,19 @@
 enum
 {
   TABLE_MIN = 64,
-  IDLE_TIME = 600000 /* ms after which an unused bucket may be dropped */
+  IDLE_TIME = 600000, /* ms after which an unused bucket may be dropped */
+  /* While another accountant may count for the tenant, the bucket fills for
+     SECOND_TIME ms of each SECOND_PERIOD: the first one is lost for longer
+     only if control can't replace it.  */
+  SECOND_TIME = 2200,
+  SECOND_PERIOD = 5000,
+  START_TIME = 60000,            /* ms that a new bucket fills for at most */
+  SECOND_FILL = QUOTA_GRANT_LIFE /* ms of filling that it can have at most */
 };
 
 /* A bucket that starts anew has this many tokens: the first operation after a
    hand-over isn't refused.  */
 #define START_TOKENS 1.5
-/* Part of the rate while another accountant may count for the tenant.  */
-#define SECOND_RATE 0.5
 /* Part of the tokens left that one holder may have beyond its need.  */
 #define MORE_PART 0.25
 
@@ -26,9 +31,10 @@
   double level;
   double rate; /* tokens a second, since AT */
   quota_limit_t limit;
-  msec_t at;   /* time of LEVEL */
-  msec_t slot; /* start of the current slot of grants */
-  int out[2];  /* granted in the current and the previous slot */
+  msec_t at;           /* time of LEVEL */
+  msec_t second_since; /* not the first accountant since then; -1: is it */
+  msec_t slot;         /* start of the current slot of grants */
+  int out[2];          /* granted in the current and the previous slot */
 } bucket_t;
 
 struct quota_table
@@ -38,7 +44,7 @@
   size_t n;
   size_t names; /* bytes */
   msec_t turned_at;
-  msec_t emptied_at; /* buckets are empty at this time; -1: never */
+  msec_t emptied_at; /* woke from a freeze, with empty buckets; -1: never */
 };
 
 static bucket_t *
@@ -142,6 +148,7 @@
   b->hash = hash;
   b->level = START_TOKENS;
   b->at = b->slot = now;
+  b->second_since = -1;
   b->limit.version = -1;
   t->n++;
   t->names += name.n;
@@ -153,18 +160,25 @@
 static void
 limit_level (bucket_t *b)
 {
-  if (b->level > b->limit.capacity)
-    b->level = b->limit.capacity;
+  double most = b->limit.capacity;
+
+  /* Without the use of another accountant a bucket would fill in vain.  */
+  if (b->second_since >= 0)
+    most = START_TOKENS + b->limit.rate * b->limit.second * SECOND_FILL / 1000;
+  if (most > b->limit.capacity)
+    most = b->limit.capacity;
+  if (b->level > most)
+    b->level = most;
 }
 
 /* Brings B to NOW at the limit that was in force until now.  */
 static void
-refill (const quota_table_t *t, bucket_t *b, msec_t now)
+refill (bucket_t *b, msec_t emptied_at, msec_t now)
 {
-  if (t->emptied_at > b->at)
+  if (emptied_at > b->at)
     {
       b->level = 0;
-      b->at = t->emptied_at;
+      b->at = emptied_at;
       b->out[0] = b->out[1] = 0;
     }
   if (now > b->at)
@@ -175,12 +189,26 @@
     }
 }
 
+/* Part of the rate that B fills with from now on.  */
+static double
+part_of_rate (bucket_t *b, bool second, msec_t now)
+{
+  if (!second)
+    {
+      b->second_since = -1;
+      return 1;
+    }
+  if (b->second_since < 0 || now - b->second_since >= SECOND_PERIOD)
+    b->second_since = now;
+  return now - b->second_since < SECOND_TIME ? b->limit.second : 0;
+}
+
 static void
-set_limit (bucket_t *b, const quota_limit_t *l, bool second)
+set_limit (bucket_t *b, const quota_limit_t *l, bool second, msec_t now)
 {
   if (l->version >= b->limit.version)
     b->limit = *l;
-  b->rate = b->limit.rate * (second ? SECOND_RATE : 1);
+  b->rate = b->limit.rate * part_of_rate (b, second, now);
   limit_level (b);
 }
 
@@ -232,17 +260,41 @@
   return ms < QUOTA_RETRY_MAX ? (msec_t)ms : QUOTA_RETRY_MAX;
 }
 
+bool
+quota_is_second (const quota_standing_t *at, msec_t frozen_at)
+{
+  msec_t since = at->since > frozen_at ? at->since : frozen_at;
+
+  return !at->first || at->heard_at - since < QUOTA_SETTLE;
+}
+
+/* Whoever counts for a tenant since SINCE knows that it used nothing before
+   its first ask: its new bucket has been filling.  */
+static void
+start (bucket_t *b, const quota_limit_t *l, msec_t since, msec_t now)
+{
+  b->limit = *l;
+  b->rate = l->rate;
+  b->at = since > now - START_TIME ? since : now - START_TIME;
+}
+
 quota_answer_t
 quota_table_ask (quota_table_t *t, str_t tenant, const quota_limit_t *limit,
-                 bool second, int need, int more, int returned, msec_t now)
+                 const quota_standing_t *at, int need, int more, int returned,
+                 msec_t now)
 {
   bucket_t *b = tenant.n ? get (t, tenant, now) : NULL;
   quota_answer_t a = { 0, QUOTA_RETRY_MAX };
+  msec_t emptied_at = t->emptied_at;
 
   if (b == NULL)
     return a;
-  refill (t, b, now);
-  set_limit (b, limit, second);
+  if (at->first && at->since > emptied_at)
+    emptied_at = at->since;
+  if (b->limit.version < 0 && !quota_is_second (at, t->emptied_at))
+    start (b, limit, emptied_at, now);
+  refill (b, emptied_at, now);
+  set_limit (b, limit, quota_is_second (at, t->emptied_at), now);
   turn_slots (b, now);
   take_back (b, returned);
   a.tokens = at_most (need > 0 ? need : 0, b->level);
