--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -396,7 +396,7 @@
 {
   str_t address[NEAR];
   char text[NEAR][16];
-  int at[NEAR], rank[QUOTA_RANKS], n = 0;
+  int at[NEAR] = { 0 }, rank[QUOTA_RANKS], n = 0;
   int zone = zone_of (w, viewer);
 
   for (int i = zone * w->near; i < (zone + 1) * w->near; i++)
