--- a/test/stage.c
+++ b/test/stage.c
@@ -451,9 +451,7 @@
   tenant_entry_t *t = apr_pcalloc (s->pool, (s->nkeys + 1) * sizeof *t);
   api_key_t *k = apr_pcalloc (s->pool, (s->nkeys + 1) * sizeof *k);
 
-  static tenant_entry_t tenants[] = { { .name = STR ("a") },
-                                      { .name = STR ("b") },
-                                      { .name = STR ("c") } };
+  tenant_entry_t *own = apr_pcalloc (s->pool, 3 * sizeof *own);
   static api_key_t keys[]
       = { { STR ("key-a"), 0 }, { STR ("key-b"), 1 }, { STR ("key-c"), 2 } };
 
@@ -462,10 +460,14 @@
       list_limited (s, m);
       return;
     }
+  for (int i = 0; i < 3; i++)
+    own[i] = (tenant_entry_t){ .name = { (char *)"abc" + i, 1 },
+                               .rate = s->own_rate[i],
+                               .burst = s->own_rate[i] };
   m->tenanted = s->tenanted;
   if (s->keys == NULL)
     {
-      m->tenants = (list_t){ tenants, s->tenanted ? 3 : 0 };
+      m->tenants = (list_t){ own, s->tenanted ? 3 : 0 };
       m->keys = (list_t){ keys, s->tenanted ? 3 : 0 };
       return;
     }
--- a/test/test_tenants_pool.c
+++ b/test/test_tenants_pool.c
@@ -107,9 +107,13 @@
 START_TEST (small_tenants_share_a_metric)
 {
   stage_t *s = tenants_new (4);
+
+  s->own_rate[0] = s->own_rate[1] = 100000;
+  s->own_rate[2] = 10000;
+  s->version++;
+  stage_run (s, 400, NULL, NULL);
   stage_client_t *a = tenant_session (s, "lead", "a");
   stage_client_t *c = tenant_session (s, "lead", "c");
-
   ASK (a, "QUERY a1 WRITE 7 x\r\n", "COMPLETE");
   ASK (c, "QUERY c1 WRITE 7 x\r\n", "COMPLETE");
   ck_assert_int_eq (started ("a"), 1);
