proxy: an owner that doesn't know a tenant yet keeps the session open

An owner of connections with an older configuration refused the start-up of a forwarded session whose tenant it didn't know, and one with a newer ended the sessions of a removed tenant. The forwarding instance took both for a failure and avoided the owner for 2 s, for the sessions of all tenants. The owner now answers operations with BUSY until it knows the tenant.

The check of an older configuration passed with the rule disabled, since the stand-in for control never sent one; it does now, and the mutant is detected.

--- a/lib/proxy/caller.c
+++ b/lib/proxy/caller.c
@@ -33,8 +33,7 @@
   const proxy_t *p = s->proxy;
 
   *t = NULL;
-  /* The forwarding instance has checked the key; a name that this instance's
-     configuration doesn't have can't be served here.  */
+  /* The forwarding instance has checked the key.  */
   if (s->from_peer && s->key.n)
     return (*t = tenant_find (p, s->key)) != NULL;
   if (!p->setup->tenanted || anonymous)
@@ -62,22 +61,34 @@
   p->callers_refused = 0;
 }
 
-/* ASKED: a request awaits its answer.  */
+/* Ends the session of a client.  ASKED: a request awaits its answer.  */
 static void
 refuse (session_t *s, bool asked)
 {
-  fail_t f = s->from_peer ? FAIL_BUSY : FAIL_NOAUTH;
-  str_t why = s->from_peer ? STR ("unknown tenant") : STR ("unknown key");
-
   log_refused (s);
   session_tx_end (s);
   /* The end of the session rolls back, here and at another instance.  */
-  s->proxy->conf.client->error (stream_out (s->stream), f, why);
+  s->proxy->conf.client->error (stream_out (s->stream), FAIL_NOAUTH,
+                                STR ("unknown key"));
   if (asked)
     session_send_ready (s);
   session_end (s);
 }
 
+/* Answers an operation of a forwarded session.  The session stays open: the
+   forwarding instance takes its end for a failure and avoids this one, also
+   for the sessions of other tenants.  */
+static void
+refuse_forwarded (session_t *s)
+{
+  log_refused (s);
+  statement_clear (s); /* it may wait for a connection */
+  if (s->link)
+    link_release (s->proxy, s->link);
+  session_tx_end (s);
+  session_refuse (s, FAIL_BUSY, STR ("unknown tenant"));
+}
+
 /* The caller belongs to another tenant now, whose statements run on other
    connections.  */
 static void
@@ -93,35 +104,51 @@
 bool
 caller_start (session_t *s)
 {
-  if (!caller_identify (s, s->route.anonymous, &s->tenant))
+  if (caller_identify (s, s->route.anonymous, &s->tenant))
+    s->identified = s->proxy->setup->version;
+  else if (!s->from_peer)
     {
       refuse (s, false);
       return false;
     }
-  s->identified = s->proxy->setup->version;
   return true;
 }
 
-bool
-caller_check (session_t *s, bool asked)
+/* The state of a forwarded session may come before its tenant is known.  */
+static bool
+only_keeps_state (const op_t *op)
+{
+  return op->kind == OP_SET || op->kind == OP_PREPARE
+         || op->kind == OP_DEALLOCATE;
+}
+
+caller_t
+caller_check (session_t *s, const op_t *op)
 {
   proxy_t *p = s->proxy;
   const route_entry_t *r = s->tx == TX_NONE ? route_find (p, s->host) : NULL;
   tenant_t *t;
 
   if (p->setup == NULL || s->identified == p->setup->version)
-    return true;
+    return CALLER_KNOWN;
   /* A changed route applies from the next transaction on.  */
   if (r)
     s->route.anonymous = r->anonymous;
-  if (!caller_identify (s, s->route.anonymous, &t))
+  if (caller_identify (s, s->route.anonymous, &t))
     {
-      refuse (s, asked);
-      return false;
+      if (t != s->tenant)
+        change_tenant (s, t);
+      if (s->tx == TX_NONE)
+        s->identified = p->setup->version;
+      return CALLER_KNOWN;
     }
-  if (t != s->tenant)
-    change_tenant (s, t);
-  if (s->tx == TX_NONE)
-    s->identified = p->setup->version;
-  return true;
+  if (!s->from_peer)
+    {
+      refuse (s, op != NULL);
+      return CALLER_CLOSED;
+    }
+  if (op == NULL || only_keeps_state (op))
+    return CALLER_KNOWN;
+  refuse_forwarded (s);
+  return CALLER_REFUSED;
 }
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -548,9 +548,16 @@
 /* caller_start: identifies the caller of a session that starts.  False when it
    is unknown and the session is closed.  */
 bool caller_start (session_t *s);
-/* caller_check: the same when the configuration has changed since; an open
-   transaction is then rolled back.  ASKED: a request awaits its answer.  */
-bool caller_check (session_t *s, bool asked);
+typedef enum
+{
+  CALLER_KNOWN,
+  CALLER_REFUSED, /* the operation was answered */
+  CALLER_CLOSED   /* and the session is closed */
+} caller_t;
+/* caller_check: the same for OP of a session, when the configuration has
+   changed; an open transaction of an unknown caller is rolled back.  OP is
+   NULL when no request awaits its answer.  */
+caller_t caller_check (session_t *s, const op_t *op);
 
 /* share.c */
 /* share_get: what the tenant of S uses of the queue of its service.  */
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -382,7 +382,8 @@
 void
 session_run_here (session_t *s, client_msg_t *m)
 {
-  if (caller_check (s, true) && run_op (s, &m->op) && !s->req.active)
+  if (caller_check (s, &m->op) == CALLER_KNOWN && run_op (s, &m->op)
+      && !s->req.active)
     session_next (s);
 }
 
@@ -419,9 +420,12 @@
       str_t raw = { buf_str (stream_in (st)).p, used };
       bool op = m.kind == CLIENT_OP && s->started;
       bool open = true;
-      if (op && !caller_check (s, true))
+      caller_t known = op ? caller_check (s, &m.op) : CALLER_KNOWN;
+      if (known == CALLER_CLOSED)
         return;
-      if (op && stop_refuses (s, &m.op))
+      if (known == CALLER_REFUSED)
+        open = true; /* it was answered */
+      else if (op && stop_refuses (s, &m.op))
         open = stop_refuse (s, &m.op);
       else if (!op || !forward_needed (s, &m.op)
                || !forward_op (s, &m.op, raw))
--- a/lib/proxy/sweep.c
+++ b/lib/proxy/sweep.c
@@ -92,7 +92,9 @@
 sweep_one (session_t *s, msec_t now)
 {
   if (start_expired (s, now)
-      || (may_refuse (s) && !caller_check (s, s->req.active)))
+      || (may_refuse (s)
+          && caller_check (s, s->req.active ? &s->req.op : NULL)
+                 == CALLER_CLOSED))
     return;
   if (s->forward)
     {
--- a/test/stage.c
+++ b/test/stage.c
@@ -541,19 +541,20 @@
     ctl[i]
         = (member_t){ i + 1, true, STR ("c"), str_of (s->control_address[i]),
                       str_of (s->control_zone[i]) };
-  watch_update_t n
-      = { .seq = m->seq,
-          .boot = 1,
-          .has_leader = !s->control_leaderless[w->at],
-          .roster_complete = s->roster_complete,
-          .version = s->version,
-          .setup = m->version < s->version ? buf_str (&setup) : (str_t){ 0 },
-          .roster = s->roster,
-          .full = !(s->roster_changes && m->roster >= 0),
-          .backends = { b, STAGE_DBS },
-          .control = { ctl, 2 },
-          .entries = s->entries,
-          .has_endpoints = s->second != NULL };
+  watch_update_t n = { .seq = m->seq,
+                       .boot = 1,
+                       .has_leader = !s->control_leaderless[w->at],
+                       .roster_complete = s->roster_complete,
+                       .version = s->version,
+                       .setup = m->version < s->version || s->repeat_setup
+                                    ? buf_str (&setup)
+                                    : (str_t){ 0 },
+                       .roster = s->roster,
+                       .full = !(s->roster_changes && m->roster >= 0),
+                       .backends = { b, STAGE_DBS },
+                       .control = { ctl, 2 },
+                       .entries = s->entries,
+                       .has_endpoints = s->second != NULL };
   endpoint_t x[2] = { { str_of (s->endpoint[0]), STR ("z1") },
                       { str_of (s->endpoint[1]), STR ("z1") } };
   n.endpoints = (list_t){ x, s->second ? 2 : 0 };
--- a/test/stage.h
+++ b/test/stage.h
@@ -101,6 +101,7 @@
   int64_t burst[2];
   int64_t own_rate[3]; /* rate and burst of the tenants a, b and c */
   bool near_anonymous; /* the route "near" needs no key */
+  bool repeat_setup;   /* each update contains the configuration */
   const stage_key_t *keys;
   size_t nkeys;
   struct tap *tap[2];         /* of stage_pair_tapped */
--- a/test/test_tenant.c
+++ b/test/test_tenant.c
@@ -316,6 +316,7 @@
   s->keys = keys;
   s->nkeys = all_keys;
   s->version = newest - 1;
+  s->repeat_setup = true;
   stage_run (s, 1000, NULL, NULL);
   ck_assert_int_eq (s->proxy->setup->version, newest);
   assert_refused (s, "STARTUP lead " KEY_1 "\r\n");
@@ -540,6 +541,60 @@
 }
 END_TEST
 
+/* Guards against an owner of connections that is avoided by all sessions of
+   another instance because it doesn't know one tenant yet, and against
+   statements of that tenant under the name of the instance.  */
+START_TEST (owner_learns_of_a_tenant_later)
+{
+  stage_t *s = stage_pair ();
+
+  stage_set_keys (s, keys, all_keys);
+  proxy_t *owner = is_owner (s->second) ? s->second : s->proxy;
+  tenant_t *t2 = tenant_find (owner, STR ("t2"));
+  t2->setup_version = -1; /* the owner's configuration is older */
+  stage_client_t *a = open_session (client_of_non_owner (s), "lead", KEY_1);
+  stage_client_t *b = open_session (client_of_non_owner (s), "lead", KEY_2);
+  ASK (a, "QUERY a1 WRITE 7 x\r\n", "COMPLETE sig-db0\r\nREADY I");
+  ASK (b, "QUERY b0 SET v1 blue\r\n", "COMPLETE -\r\nREADY I");
+  ASK (b, "QUERY b1 PREPARE s1 WRITE shape\r\n", "COMPLETE -\r\nREADY I");
+  ASK (b, "QUERY b2 WRITE 7 x\r\n", "ERROR BUSY");
+  ck_assert_ptr_nonnull (strstr (b->received, "READY I"));
+  ASK (b, "QUERY b3 BEGIN\r\n", "ERROR BUSY");
+  ASK (a, "QUERY a2 WRITE 7 x\r\n", "COMPLETE sig-db0\r\nREADY I");
+  ck_assert_int_eq (forwarded_sessions (s), 2);
+  t2->setup_version = owner->setup->version;
+  ASK (b, "QUERY b4 EXECUTE s1 7 x\r\n", "COMPLETE sig-db0\r\nREADY I");
+  ck_assert_int_eq (received (s, " b2 WRITE"), 0);
+  ck_assert_int_eq (received (s, "t2> QUERY b4 EXECUTE"), 1);
+  ck_assert_int_eq (received (s, "p1> QUERY ") + received (s, "p2> QUERY "),
+                    0);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a forwarded transaction that goes on at an instance whose
+   configuration lost its tenant before that of the forwarding instance.  */
+START_TEST (owner_loses_a_tenant_first)
+{
+  stage_t *s = stage_pair ();
+
+  stage_set_keys (s, keys, all_keys);
+  proxy_t *owner = is_owner (s->second) ? s->second : s->proxy;
+  stage_client_t *b = open_session (client_of_non_owner (s), "lead", KEY_2);
+  ASK (b, "QUERY b1 BEGIN\r\n", "READY T");
+  ASK (b, "QUERY b2 WRITE 7 x\r\n", "COMPLETE sig-db0\r\nREADY T");
+  tenant_find (owner, STR ("t2"))->setup_version = -1;
+  for (session_t *x = owner->sessions; x; x = x->next)
+    x->identified = 0;
+  ASK (b, "QUERY b3 COMMIT\r\n", "ERROR BUSY");
+  ck_assert_ptr_nonnull (strstr (b->received, "READY I"));
+  ck_assert_int_eq (received (s, "COMMIT"), 0);
+  ck_assert_int_eq (received (s, "t2> QUERY - ROLLBACK"), 1);
+  ck_assert_int_eq (forwarded_sessions (s), 1);
+  stage_free (s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -566,6 +621,8 @@
   tcase_set_timeout (f, 30);
   tcase_add_test (f, forwarding_names_the_tenant);
   tcase_add_test (f, withdrawn_key_ends_a_forwarded_session);
+  tcase_add_test (f, owner_learns_of_a_tenant_later);
+  tcase_add_test (f, owner_loses_a_tenant_first);
   suite_add_tcase (s, f);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
