test: quotas of callers that are identified by their keys

The tests of the gate set the tenant of a session themselves; now the key does. A forwarded operation is counted at the instance that runs it.

--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -40,8 +40,8 @@
   const char *key = strcmp (tenant, "hot") == 0 ? "u1" : "u2";
   stage_client_t *c = stage_session_key (s, second, host, key);
 
-  p->sessions->tenant = tenant_find (p, str_of (tenant));
   ck_assert_ptr_nonnull (p->sessions->tenant);
+  ck_assert (str_eq (p->sessions->tenant->name, str_of (tenant)));
   return c;
 }
 
@@ -320,6 +320,26 @@
 }
 END_TEST
 
+/* Guards against a forwarded operation that is counted at both instances, or
+   at none.  */
+START_TEST (forwarded_operation_is_counted_once)
+{
+  stage_t *s = stage_pair ();
+
+  set_quotas (s, 50, 20, 0, 0);
+  stage_run (s, QUOTA_SETTLE + 400, NULL, NULL);
+  service_t *v = service_get (s->second, STR ("svc"));
+  bool second = service_may_connect (s->second, v);
+  proxy_t *owner = second ? s->second : s->proxy;
+  proxy_t *other = second ? s->proxy : s->second;
+  stage_client_t *c = session_of (s, !second, "hot", "near");
+  ck_assert_int_eq (served (c, 5), 5);
+  ck_assert_int_eq (use (owner, "hot")->admitted, 5);
+  ck_assert_ptr_null (use (other, "hot"));
+  stage_free (s);
+}
+END_TEST
+
 /* Replaces one endpoint by one that accepts connections and never answers, and
    that counts for "hot".  Returns its socket.  */
 static int
@@ -422,6 +442,7 @@
   tcase_set_timeout (u, 60);
   tcase_add_test (u, instances_share_a_quota);
   tcase_add_test (u, unused_tokens_return_to_the_accountant);
+  tcase_add_test (u, forwarded_operation_is_counted_once);
   tcase_add_test (u, next_accountant_answers_for_a_frozen_one);
   tcase_add_test (u, malformed_ask_closes_only_its_connection);
   suite_add_tcase (s, u);
