balance: reads are kept away from a database that fails more than the others

A database that is up and fails 46% of its statements answers fast, so it was the cheapest one by time: its failures were seen by nobody, since any answer cleared its state.

Tests: test_balance (grey, lying, flapping, most fail, few lost answers, slow start).

--- a/lib/proxy/attempt.c
+++ b/lib/proxy/attempt.c
@@ -167,6 +167,7 @@
       counter_add (x->started, 1);
       counter_add (x->wait_ms, p->now - r->arrived);
     }
+  outlier_started (&d->outlier, p->now);
   memcpy (r->last_db, d->id, sizeof r->last_db);
   r->attempt_end = r->read_only && s->tx == TX_NONE
                        ? p->now + read_timeout (d, left)
--- a/lib/proxy/candidates.c
+++ b/lib/proxy/candidates.c
@@ -30,8 +30,7 @@
 static int
 wanted (proxy_t *p, service_t *v, const db_t *d)
 {
-  return service_has_owners (p, v) ? 1 + d->slots / service_sharers (p, v)
-                                   : 1;
+  return service_has_owners (p, v) ? 1 + d->slots / service_sharers (p, v) : 1;
 }
 
 /* This instance's share of half the database's connections, or of three
@@ -84,6 +83,19 @@
   c->give_way = k ? p->now - k->since : -1;
 }
 
+/* Keeps a read away from databases that fail more often than the others,
+   unless no other can run it.  */
+static void
+leave_out_failing (candidate_t *c, db_t *const *db, int n, msec_t now)
+{
+  bool other = false;
+
+  for (int i = 0; i < n; i++)
+    other |= c[i].usable && outlier_may_use (&db[i]->outlier, now);
+  for (int i = 0; i < n && other; i++)
+    c[i].usable &= outlier_may_use (&db[i]->outlier, now);
+}
+
 int
 candidates_list (proxy_t *p, session_t *s, candidate_t *out, db_t **db)
 {
@@ -114,5 +126,7 @@
       };
       count_own (p, d, s->tenant, &out[n++]);
     }
+  if (!s->req.needs_leader)
+    leave_out_failing (out, db, n, p->now);
   return n;
 }
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -106,6 +106,27 @@
   d->avoid_until = 0;
 }
 
+void
+db_result (db_t *d, bool ok, msec_t now)
+{
+  const outlier_t *other[CANDIDATES_MAX];
+  msec_t ejected_until = d->outlier.ejected_until;
+  int n = 0;
+
+  outlier_answered (&d->outlier, ok, now);
+  if (ok)
+    return;
+  for (const db_t *x = d->service->dbs; x && n < CANDIDATES_MAX; x = x->next)
+    if (x != d && !x->gone && x->avoid_until <= now)
+      other[n++] = &x->outlier;
+  outlier_judge (&d->outlier, other, n, now);
+  if (d->outlier.ejected_until != ejected_until)
+    log_event (EV_EJECTED, "database=%s service=" STR_FMT " ms=%lld times=%d",
+               d->id, STR_ARG (d->service->name),
+               (long long)(d->outlier.ejected_until - now),
+               d->outlier.ejections);
+}
+
 void
 db_failed (proxy_t *p, db_t *d, msec_t now)
 {
@@ -156,6 +177,7 @@
   d->fail_at = d->ok_at = -1;
   d->avoid_until = d->backoff = d->full_at = 0;
   d->progress = (progress_t){ 0 };
+  d->outlier = (outlier_t){ 0 };
   d->born = b->born;
   d->seq = -1;
   if (d->service->leader == d)
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -139,6 +139,7 @@
           EV_DB_LOST, "database=%s service=" STR_FMT " state=%s cause=%s",
           d->id, STR_ARG (v->name),
           k->state == LINK_OPENING ? "opening" : "busy", err_name (e->code));
+      db_result (d, false, p->now);
       db_failed (p, d, p->now);
     }
   if (s && s->link == k)
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -3,6 +3,7 @@
 #ifndef PROXY_LOCAL_H
 #define PROXY_LOCAL_H
 
+#include "balance.h"
 #include "proxy.h"
 
 #include <apr_hash.h>
@@ -211,6 +212,7 @@
   msec_t fail_at;          /* time of the first failure since then; -1: none */
   msec_t full_at;          /* last refusal as too many connections; 0: none */
   progress_t progress;     /* as a replica */
+  outlier_t outlier;       /* whether it fails more than the others */
 };
 
 struct service
@@ -524,6 +526,10 @@
 void leader_confirmed (service_t *s, db_t *d);
 void leader_refused (service_t *s, db_t *d, msec_t now);
 void db_answered (db_t *d, msec_t now);
+/* db_result: a statement succeeded at D or failed through no fault of its own;
+   reads are kept away from a database that fails more often than the others
+   of its service.  */
+void db_result (db_t *d, bool ok, msec_t now);
 void db_failed (proxy_t *p, db_t *d, msec_t now);
 
 /* tenant.c */
--- a/lib/proxy/statement.c
+++ b/lib/proxy/statement.c
@@ -119,6 +119,15 @@
   *kind = *kind > 0 ? *kind + weight * (ms - *kind) : ms + 0.5;
 }
 
+/* Failures that tell of the database: those of a statement's own making, of
+   lag and of a lost lead don't.  */
+static void
+note_result (db_t *d, fail_t f, msec_t now)
+{
+  if (f == FAIL_NONE || f == FAIL_FAILED || f == FAIL_BUSY)
+    db_result (d, f == FAIL_NONE, now);
+}
+
 static void
 answer_no_tx (session_t *s, link_t *k, pos_t pos)
 {
@@ -130,6 +139,7 @@
   if (f == FAIL_NONE && r->read_only && !r->needs_leader
       && pos_cmp (pos, r->need) < 0)
     f = FAIL_LAGGING;
+  note_result (d, f, p->now);
   if (f == FAIL_NONE)
     {
       note_time (s, d, (double)(p->now - k->sent));
@@ -176,6 +186,7 @@
   fail_t f = k->fail;
   bool commit = r->op.kind == OP_COMMIT;
 
+  note_result (k->db, f, p->now);
   if (f == FAIL_NONE)
     {
       if (commit)
@@ -320,6 +331,7 @@
   link_close (p, k);
   s->link = NULL;
   links_close_unused (p, d, sent);
+  db_result (d, false, now);
   /* A database that has answered others since is alive; only this answer was
      lost.  */
   if (d->ok_at < sent)
