balance: the share of a zone's statements that leaves the zone

Demand is counted at home before anything leaves, so that shares don't change the figures that they follow from.

Tests: a zone without a third and two thirds of its servers, a shift of 42% of the clients and back, a slow link, a cut, figures 5 s old, two full zones; in each less than 5 points of movement over 6 s, with figures one report old and 4% of noise. Not used by placement yet.

--- a/include/balance.h
+++ b/include/balance.h
@@ -49,4 +49,50 @@
    intervals that become shorter.  */
 bool outlier_may_use (const outlier_t *o, msec_t now);
 
+/* ---- leaving the zone ---- */
+
+enum
+{
+  ZONES_MAX = 8,
+  ZONE_STALE = 2000 /* ms after which figures of a zone tell nothing */
+};
+
+/* What is known of one zone, for one service and kind of statement.  DEMAND
+   counts what its own callers ask for, whichever zone then runs it: shares
+   that follow from it don't change it, so they don't swing.  */
+typedef struct
+{
+  double demand; /* work of its own callers, in slots */
+  double room;   /* slots of its usable databases that may run the kind */
+  double wait;   /* ms that a statement waits there for a slot */
+  double link;   /* ms there and back; 0 for the own zone */
+  bool cut;      /* can't be reached */
+  msec_t at;     /* time at which the figures were taken */
+} zone_figures_t;
+
+typedef struct
+{
+  double fill;    /* share of a zone's room that is planned for */
+  double kb;      /* size of a statement with its answer */
+  double cost_mb; /* ms of waiting that saving 1 MB between zones is worth */
+} zone_costs_t;
+
+/* The defaults of the settings.  */
+extern const zone_costs_t zone_costs_default;
+
+/* zones_share: moves SHARE, the parts of the statements of zone HOME that go
+   to each of the N zones, one step from their last values; called with each
+   report.  The part of HOME is what remains.  A zone sends out what it lacks,
+   to zones with room to spare in proportion to it, less over dear links; if
+   all zones together lack more than is spare, each gets the same part of its
+   lack. Stale figures of HOME, or of a target, and a cut link mean none at
+   once.  */
+void zones_share (const zone_figures_t *z, int n, int home,
+                  const zone_costs_t *c, msec_t now, double *share);
+/* zone_takes_guest: whether a zone that runs GUESTS slots of work of other
+   zones takes another statement from them; otherwise it is refused at once.  A
+   guest is never sent on.  */
+bool zone_takes_guest (const zone_figures_t *z, double guests,
+                       const zone_costs_t *c, msec_t now);
+
 #endif
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -172,6 +172,239 @@
 }
 END_TEST
 
+/* ---- leaving the zone ---- */
+
+enum
+{
+  ZONES = 3,
+  REPORT = 300 /* ms between reports; figures are one report old */
+};
+
+typedef struct
+{
+  rng_t rng;
+  msec_t now;
+  double demand[ZONES]; /* slots that the zone's callers ask for */
+  double room[ZONES];
+  double link; /* ms between zones */
+  bool cut[ZONES];
+  msec_t age; /* of all figures, beyond one report */
+  zone_figures_t last[ZONES];
+  double wait[ZONES];
+  double share[ZONES][ZONES];
+} region_t;
+
+static region_t
+region (uint64_t seed, double demand)
+{
+  region_t r = { .now = 10000, .link = 1 };
+
+  rng_init (&r.rng, seed);
+  for (int i = 0; i < ZONES; i++)
+    {
+      r.demand[i] = demand;
+      r.room[i] = 40;
+      r.share[i][i] = 1;
+    }
+  return r;
+}
+
+/* Slots of work that come to zone I, from its own callers and from others.  */
+static double
+load (const region_t *r, int i)
+{
+  double n = 0;
+
+  for (int k = 0; k < ZONES; k++)
+    n += r->demand[k] * r->share[k][i];
+  return n;
+}
+
+static double
+sent_out (const region_t *r, int i)
+{
+  return 1 - r->share[i][i];
+}
+
+/* One report: the wait at a zone grows while it has more than its room, the
+   figures of demand are counts and differ by 4% from one to the next.  */
+static void
+report (region_t *r)
+{
+  zone_figures_t seen[ZONES];
+
+  for (int i = 0; i < ZONES; i++)
+    {
+      double over = load (r, i) / r->room[i];
+      seen[i] = r->last[i];
+      r->wait[i] = over > 0.85 ? r->wait[i] + REPORT * (over - 0.85)
+                               : r->wait[i] * 0.5;
+      r->last[i] = (zone_figures_t){
+        .demand = r->demand[i] * (0.96 + 0.08 * rng_unit (&r->rng)),
+        .room = r->room[i],
+        .wait = r->wait[i] + 3,
+        .at = r->now,
+      };
+    }
+  r->now += REPORT;
+  for (int i = 0; i < ZONES; i++)
+    {
+      zone_figures_t z[ZONES];
+      for (int k = 0; k < ZONES; k++)
+        {
+          z[k] = k == i ? r->last[k] : seen[k];
+          z[k].link = k == i ? 0 : r->link;
+          z[k].cut = k != i && (r->cut[i] || r->cut[k]);
+          z[k].at -= k == i ? 0 : r->age;
+        }
+      zones_share (z, ZONES, i, &zone_costs_default, r->now, r->share[i]);
+    }
+}
+
+/* Runs MS and then 6 s more; in these no share may move by 5 points.  */
+static void
+settle (region_t *r, msec_t ms)
+{
+  double low[ZONES], high[ZONES];
+
+  for (msec_t end = r->now + ms; r->now < end;)
+    report (r);
+  for (int i = 0; i < ZONES; i++)
+    low[i] = high[i] = sent_out (r, i);
+  for (msec_t end = r->now + 6000; r->now < end;)
+    {
+      report (r);
+      for (int i = 0; i < ZONES; i++)
+        {
+          double s = sent_out (r, i);
+          low[i] = s < low[i] ? s : low[i];
+          high[i] = s > high[i] ? s : high[i];
+        }
+    }
+  for (int i = 0; i < ZONES; i++)
+    ck_assert_double_lt (high[i] - low[i], 0.05);
+}
+
+/* Guards against billed and slower traffic without need.  */
+START_TEST (zone_with_room_sends_nothing_out)
+{
+  region_t r = region (1, 25);
+
+  settle (&r, 3000);
+  for (int i = 0; i < ZONES; i++)
+    ck_assert_double_lt (sent_out (&r, i), 0.001);
+}
+END_TEST
+
+/* Guards against a zone that keeps what it can't run, or empties itself: it
+   sends out what it lacks of 85% of its room.  */
+START_TEST (zone_without_a_part_of_its_servers_sends_what_it_lacks)
+{
+  for (int lost = 1; lost <= 2; lost++)
+    {
+      region_t r = region ((uint64_t)lost, 26);
+      r.room[0] = 40 - 40 * lost / 3.0;
+      double lacks = (26 - 0.85 * r.room[0]) / 26;
+      if (lacks < 0)
+        lacks = 0;
+      settle (&r, 6000);
+      /* Both others together spare 16.  */
+      if (lacks * 26 > 16)
+        lacks = 16 / 26.0;
+      ck_assert_double_gt (sent_out (&r, 0), lacks - 0.05);
+      ck_assert_double_lt (sent_out (&r, 0), lacks + 0.05);
+      ck_assert_double_lt (sent_out (&r, 1), 0.001);
+      ck_assert_double_lt (load (&r, 1), 0.9 * r.room[1]);
+      /* Shares, not a switch to one of them.  */
+      ck_assert_double_lt (r.share[0][1], 2 * r.share[0][2]);
+      ck_assert_double_lt (r.share[0][2], 2 * r.share[0][1]);
+    }
+}
+END_TEST
+
+/* Guards against a zone that is overrun while others have room, and one that
+   goes on sending when its clients have moved back.  */
+START_TEST (shift_of_clients_is_followed_and_undone)
+{
+  region_t r = region (5, 26);
+
+  settle (&r, 1500);
+  r.demand[0] += 0.42 * 26;
+  r.demand[1] -= 0.42 * 26;
+  settle (&r, 3000);
+  double lacks = (1.42 * 26 - 34) / (1.42 * 26);
+  ck_assert_double_gt (sent_out (&r, 0), lacks - 0.05);
+  ck_assert_double_lt (sent_out (&r, 0), lacks + 0.05);
+  r.demand[0] = r.demand[1] = 26;
+  settle (&r, 6000);
+  ck_assert_double_lt (sent_out (&r, 0), 0.001);
+}
+END_TEST
+
+/* Guards against statements that are sent over a link which costs more time
+   than they wait at home.  */
+START_TEST (slow_link_is_not_used_before_it_pays)
+{
+  const msec_t now = 10000;
+  double share[ZONES] = { 1 };
+  zone_figures_t z[ZONES] = {
+    { .demand = 36, .room = 40, .wait = 20, .at = now },
+    { .demand = 10, .room = 40, .wait = 1, .link = 100, .at = now },
+    { .demand = 10, .room = 40, .wait = 1, .link = 100, .at = now },
+  };
+
+  zones_share (z, ZONES, 0, &zone_costs_default, now, share);
+  ck_assert_double_eq (share[0], 1);
+  z[0].wait = 150;
+  zones_share (z, ZONES, 0, &zone_costs_default, now, share);
+  ck_assert_double_lt (share[0], 1);
+  /* Over a dear link less goes than over a cheap one.  */
+  z[2].link = 1;
+  for (int i = 0; i < 20; i++)
+    zones_share (z, ZONES, 0, &zone_costs_default, now, share);
+  ck_assert_double_gt (share[2], 4 * share[1]);
+}
+END_TEST
+
+/* Guards against statements sent into a cut, or on figures that are 5 s old:
+   none, from the next report on.  */
+START_TEST (cut_or_stale_figures_mean_none)
+{
+  region_t r = region (6, 26);
+
+  r.room[0] = 20;
+  settle (&r, 3000);
+  ck_assert_double_gt (sent_out (&r, 0), 0.2);
+  r.cut[1] = true;
+  report (&r);
+  ck_assert_double_eq (r.share[0][1], 0);
+  ck_assert_double_gt (r.share[0][2], 0);
+  r.cut[1] = false;
+  settle (&r, 3000);
+  r.age = 5000;
+  report (&r);
+  ck_assert_double_eq (sent_out (&r, 0), 0);
+}
+END_TEST
+
+/* Guards against two full zones that together send the third more than it can
+   take, and against guests before its own callers.  */
+START_TEST (two_full_zones_share_what_the_third_spares)
+{
+  region_t r = region (8, 45);
+  const zone_costs_t *c = &zone_costs_default;
+
+  r.demand[2] = 20;
+  settle (&r, 6000);
+  ck_assert_double_lt (load (&r, 2), 0.9 * r.room[2]);
+  ck_assert_double_gt (load (&r, 2), 0.8 * r.room[2]);
+  ck_assert_double_eq_tol (sent_out (&r, 0), sent_out (&r, 1), 0.05);
+  ck_assert (zone_takes_guest (&r.last[2], 10, c, r.now));
+  ck_assert (!zone_takes_guest (&r.last[2], 16, c, r.now));
+  ck_assert (!zone_takes_guest (&r.last[0], 0, c, r.now));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -186,6 +419,14 @@
   tcase_add_test (c, returned_database_starts_slowly);
   tcase_add_test (c, flapping_database_stays_out_longer);
   suite_add_tcase (s, c);
+  c = tcase_create ("zones");
+  tcase_add_test (c, zone_with_room_sends_nothing_out);
+  tcase_add_test (c, zone_without_a_part_of_its_servers_sends_what_it_lacks);
+  tcase_add_test (c, shift_of_clients_is_followed_and_undone);
+  tcase_add_test (c, slow_link_is_not_used_before_it_pays);
+  tcase_add_test (c, cut_or_stale_figures_mean_none);
+  tcase_add_test (c, two_full_zones_share_what_the_third_spares);
+  suite_add_tcase (s, c);
   r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
   int failed = srunner_ntests_failed (r);
