--- a/test/soak/client.c
+++ b/test/soak/client.c
@@ -271,7 +271,7 @@
   s->next = w->now + 5 + rand_below (w, 200);
   if (s->tx != 'I')
     disconnect (s, 50);
-  else if (rand_below (w, 12) == 0)
+  else if (rand_below (w, 12) == 0 && !tenants_lasting (w, s->key))
     {
       buf_adds (stream_out (s->stream), STR ("TERMINATE\r\n"));
       stream_flush (s->stream);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -303,6 +303,9 @@
 void tenants_acked (world_t *w, int64_t version);
 /* tenants_pick: the key of a new session, which may be withdrawn.  */
 const caller_key_t *tenants_pick (world_t *w);
+/* tenants_lasting: whether the client keeps a session of K open: K may be
+   withdrawn meanwhile.  */
+bool tenants_lasting (const world_t *w, const caller_key_t *k);
 /* tenants_may_refuse: whether a request of K, sent at SENT, may get NOAUTH. */
 bool tenants_may_refuse (const world_t *w, const caller_key_t *k, msec_t sent);
 /* tenants_check_run: Q runs on a connection that names CALLER.  */
--- a/test/soak/tenant.c
+++ b/test/soak/tenant.c
@@ -97,6 +97,12 @@
   return &w->key[below (w, below (w, 3) ? TENANTS : w->nkeys)];
 }
 
+bool
+tenants_lasting (const world_t *w, const caller_key_t *k)
+{
+  return k && !is_fixed (w, k);
+}
+
 bool
 tenants_may_refuse (const world_t *w, const caller_key_t *k, msec_t sent)
 {
