proxy: after a loss of power tenants' connections stay within what is free

With tenants an owner uses its whole share, so after a loss of power of all machines the databases still count 42 connections of 56 for 3 s. For the first 0.7 to 0.9 s no instance knows its zone's owners, and each opened its own connections for every tenant. Three bounds: - sessions of tenants wait for the list of endpoints, 1.2 s from the start at most; - an instance opens one connection to a database, and one more for each that a transaction holds, in its first 4 s; - the share doesn't grow for 4 s after a loss of instances.

share_is_small_after_a_loss_of_power and tenants_wait_for_their_owners_after_a_start test the decisions.

--- a/lib/proxy/candidates.c
+++ b/lib/proxy/candidates.c
@@ -40,8 +40,14 @@
 link_share (proxy_t *p, service_t *v)
 {
   bool own = service_has_owners (p, v);
-  int share = (own ? v->connections * 3 / 4 : v->connections / 2)
-              / service_sharers (p, v);
+  int sharers = service_sharers (p, v);
+
+  /* With tenants the whole share is used: grown at once after the loss of many
+     instances, it would exceed what the databases allow.  */
+  if (p->setup && p->setup->tenanted && p->entries_held > p->entries
+      && p->entries > 0)
+    sharers = sharers * p->entries_held / p->entries;
+  int share = (own ? v->connections * 3 / 4 : v->connections / 2) / sharers;
 
   return share < 2 ? 2 : share;
 }
@@ -56,9 +62,10 @@
 
   if (d->full_at && p->now - d->full_at < FULL_BACKOFF)
     return d->open + d->opening;
-  if (p->setup && p->setup->tenanted)
+  bool tenants = p->setup && p->setup->tenanted;
+  if (tenants && p->now - p->started >= ENTRIES_HOLD)
     return share;
-  int need = wanted (p, v, d) + pinned (d);
+  int need = (tenants ? START_CONNECTIONS : wanted (p, v, d)) + pinned (d);
   return need < share ? need : share;
 }
 
@@ -78,7 +85,7 @@
   if (!c->tenants)
     return;
   const link_t *k = link_giving_way (d, t, p->now);
-  c->own_limit = c->limit - (c->limit + 3) / 4;
+  c->own_limit = c->limit > 1 ? c->limit - (c->limit + 3) / 4 : 1;
   c->opening_limit = OPENINGS_MAX;
   c->give_way = k ? p->now - k->since : -1;
 }
--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -9,6 +9,9 @@
 enum
 {
   ENDPOINTS_TIMEOUT = 1500, /* ms from the start to wait for the endpoints */
+  /* ms from the start that statements of tenants wait for the endpoints.
+     Measured after a loss of power of all: 0.7 to 0.9 s.  */
+  OWNERS_WAIT = 1200,
   OWNER_BACKOFF = 2000 /* ms that an owner is avoided after a failure; control
                           removes a failed one after 1.5 s */
 };
@@ -100,6 +103,13 @@
          && owners_needed (v->connections, p->entries);
 }
 
+bool
+owners_awaited (proxy_t *p)
+{
+  return p->setup && p->setup->tenanted && p->conf.peers.n && p->stop_at < 0
+         && p->now - p->started < OWNERS_WAIT && p->nendpoint < 2;
+}
+
 bool
 service_may_connect (proxy_t *p, service_t *v)
 {
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -335,6 +335,12 @@
      small number, owners of connections seem not to be needed.  */
   if (n->entries > 0 && (n->roster_complete || n->entries > p->entries))
     p->entries = (int)n->entries;
+  if (p->entries >= p->entries_held
+      || p->now - p->entries_held_at >= ENTRIES_HOLD)
+    {
+      p->entries_held = p->entries;
+      p->entries_held_at = p->now;
+    }
   endpoints_update (p, n);
   if (n->setup.n
       && (n->has_leader || p->setup
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -45,9 +45,12 @@
      Each occupies one of its few slots.  */
   OPENINGS_MAX = 2,
 
-  WARM_INTERVAL = 30,  /* between connections opened in advance */
-  BACKOFF_MIN = 100,   /* a failed database is avoided for this time, which */
-  BACKOFF_MAX = 1000,  /* doubles with each further failure, up to this */
+  WARM_INTERVAL = 30, /* between connections opened in advance */
+  BACKOFF_MIN = 100,  /* a failed database is avoided for this time, which */
+  BACKOFF_MAX = 1000, /* doubles with each further failure, up to this */
+  /* A database counts the connections of lost instances for 3 s after.  */
+  ENTRIES_HOLD = 4000,
+  START_CONNECTIONS = 1, /* to a database for this time after the start */
   ENTRIES_DEFAULT = 8, /* entry instances assumed until control reports them */
   FULL_BACKOFF = 50,   /* after a database refused a connection as too many, no
                           other is opened for this time, */
@@ -466,7 +469,9 @@
   int nsession;
   int close_quota;    /* sessions that may still be closed in this batch */
   msec_t batch_start; /* start of the current batch */
-  int entries; /* entry instances that share the databases; 0: unknown */
+  int entries;      /* entry instances that share the databases; 0: unknown */
+  int entries_held; /* most of them in the last ENTRIES_HOLD ms */
+  msec_t entries_held_at; /* last time when there were as many */
   int peer_listener;
   /* Instances of this zone that run statements for others.  */
   endpoint_entry_t *endpoint;
@@ -673,6 +678,10 @@
 bool service_may_connect (proxy_t *p, service_t *v);
 /* service_owners_pending: whether V needs owners that aren't known yet.  */
 bool service_owners_pending (const proxy_t *p, const service_t *v);
+/* owners_awaited: whether this instance has just started and it isn't known
+   yet where the connections of tenants are.  Each instance would open its own,
+   while databases still count those that were lost.  */
+bool owners_awaited (proxy_t *p);
 /* service_sharers: number of instances that open connections to V, at
    least 1.  */
 int service_sharers (proxy_t *p, service_t *v);
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -7,6 +7,12 @@
 static const stream_ops_t session_ops
     = { NULL, session_input, session_closed };
 
+enum
+{
+  OWNERS_INTERVAL = 20 /* ms until a session that waits for the owners of
+                          connections looks again */
+};
+
 static buf_t *
 out (session_t *s)
 {
@@ -423,6 +429,12 @@
       caller_t known = op ? caller_check (s, &m.op) : CALLER_KNOWN;
       if (known == CALLER_CLOSED)
         return;
+      if (known == CALLER_KNOWN && op && s->tenant && !s->from_peer
+          && owners_awaited (p))
+        {
+          wake_at (p, p->now + OWNERS_INTERVAL);
+          return;
+        }
       if (known == CALLER_REFUSED)
         open = true; /* it was answered */
       else if (op && stop_refuses (s, &m.op))
--- a/test/test_tenants_pool.c
+++ b/test/test_tenants_pool.c
@@ -27,6 +27,8 @@
   s->connections = 2 * limit;
   s->version = 1;
   ck_assert (stage_run (s, 3000, is_ready, s));
+  /* Not in the time after a start, which has a lower limit.  */
+  s->proxy->started -= ENTRIES_HOLD;
   return s;
 }
 
@@ -368,6 +370,65 @@
 }
 END_TEST
 
+/* ---- after a loss of power ---- */
+
+/* Guards against instances that open more than the databases allow while these
+   still count the connections that were lost: 4,419 were refused in the 1.5 s
+   after a loss of power of the whole deployment.  */
+START_TEST (share_is_small_after_a_loss_of_power)
+{
+  zone_t z;
+  setup_t setup = { .version = 1, .tenanted = true };
+  db_t d = { .service = &z.service, .open = 4 };
+
+  zone_init (&z, 0);
+  z.proxy.setup = &setup;
+  z.proxy.entries = z.proxy.entries_held = 59;
+  z.service.connections = 56;
+  z.service.proxy = &z.proxy;
+  z.proxy.stop_at = -1;
+  z.service.nowner = 1;
+  /* No owner is picked again.  */
+  z.service.owners_version = z.proxy.endpoints_version;
+  z.proxy.started = z.proxy.now - ENTRIES_HOLD;
+  int usual = link_limit (&z.proxy, &z.service, &d);
+  ck_assert_int_ge (usual, 2);
+  z.proxy.started = z.proxy.now - 100;
+  ck_assert_int_eq (link_limit (&z.proxy, &z.service, &d), START_CONNECTIONS);
+  /* Half of the instances are lost: the share doesn't grow yet.  */
+  z.proxy.started = z.proxy.now - ENTRIES_HOLD;
+  z.proxy.entries = 30;
+  ck_assert_int_le (link_limit (&z.proxy, &z.service, &d), usual + 1);
+  z.proxy.entries_held = 30;
+  ck_assert_int_gt (link_limit (&z.proxy, &z.service, &d), usual + 1);
+}
+END_TEST
+
+/* Guards against an instance that opens connections of its own for tenants
+   before it can know their owners, and against one that waits for ever where
+   none are reported.  */
+START_TEST (tenants_wait_for_their_owners_after_a_start)
+{
+  zone_t z;
+  setup_t setup = { .version = 1, .tenanted = true };
+
+  zone_init (&z, 0);
+  z.proxy.setup = &setup;
+  z.proxy.stop_at = -1;
+  z.proxy.started = z.proxy.now - 100;
+  z.proxy.nendpoint = 0;
+  ck_assert (owners_awaited (&z.proxy));
+  z.proxy.nendpoint = 2;
+  ck_assert (!owners_awaited (&z.proxy));
+  z.proxy.nendpoint = 0;
+  z.proxy.now += 1200;
+  ck_assert (!owners_awaited (&z.proxy));
+  z.proxy.now -= 1200;
+  setup.tenanted = false;
+  ck_assert (!owners_awaited (&z.proxy));
+}
+END_TEST
+
 /* ---- replay of a calm load ---- */
 
 enum
@@ -514,6 +575,8 @@
   tcase_add_test (t, full_database_sheds_idle_connections);
   tcase_add_test (t, idle_connections_stay_while_there_is_room);
   tcase_add_test (d, instances_agree_on_the_owner_of_a_tenant);
+  tcase_add_test (d, share_is_small_after_a_loss_of_power);
+  tcase_add_test (d, tenants_wait_for_their_owners_after_a_start);
   tcase_add_test (d, most_statements_find_a_connection);
   suite_add_tcase (s, t);
   suite_add_tcase (s, d);
