proxy: owners on all instances of a zone

A service now gets as many owners as the instances of the zone allow evenly, as long as each has three connections to a database in half of its limit; elsewhere (Tan, grown: 23 instances) the number stays.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -377,6 +377,10 @@
 /* owners_count: number of owners among the NEAR instances of one zone, for
    ENTRIES instances in all zones and CONNECTIONS to each database.  */
 int owners_count (int connections, int entries, int near);
+/* owners_spread: the same, or more where NEAR instances would leave some
+   without any of NSERVICE services: an owner's link carries the statements of
+   its share of the zone.  */
+int owners_spread (int connections, int entries, int near, int nservice);
 /* owners_pick: stores in OUT the indexes of the K owners of SERVICE among the
    N addresses, by rendezvous hashing: an instance that joins or leaves doesn't
    move the services of others.  Returns their number, at most K and
--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -67,10 +67,13 @@
 update_owners (proxy_t *p, service_t *v)
 {
   str_t *address = calloc (p->nendpoint + 1, sizeof *address);
-  int n = 0;
+  int near = (int)p->nendpoint, n = 0, assigned = 0;
 
   for (const service_t *x = p->services; x; x = x->next)
-    n++;
+    {
+      n++;
+      assigned += is_assigned (p, x);
+    }
   owner_role_t *role = calloc ((size_t)n + 1, sizeof *role);
   if (address == NULL || role == NULL)
     abort ();
@@ -81,9 +84,10 @@
     if (is_assigned (p, v) ? is_assigned (p, x) : x == v)
       role[n++] = (owner_role_t){
         .service = x->name,
-        .want = owners_count (x->connections, p->entries, (int)p->nendpoint),
+        .want = owners_spread (x->connections, p->entries, near,
+                               is_assigned (p, v) ? assigned : 0),
       };
-  owners_assign (role, n, address, (int)p->nendpoint);
+  owners_assign (role, n, address, near);
   n = 0;
   for (service_t *x = p->services; x; x = x->next)
     if (is_assigned (p, v) ? is_assigned (p, x) : x == v)
--- a/lib/proxy/owner.c
+++ b/lib/proxy/owner.c
@@ -6,7 +6,9 @@
 {
   /* Connections to each database that an owner makes use of: transactions hold
      some while their clients pause.  */
-  CONNECTIONS_PER_OWNER = 4
+  CONNECTIONS_PER_OWNER = 4,
+  /* Fewer where instances of the zone would own nothing.  */
+  CONNECTIONS_PER_OWNER_MIN = 3
 };
 
 bool
@@ -17,10 +19,10 @@
   return entries > 0 && connections / 2 < entries;
 }
 
-int
-owners_count (int connections, int entries, int near)
+static int
+count (int connections, int entries, int near, int each)
 {
-  int all = connections / 2 / CONNECTIONS_PER_OWNER;
+  int all = connections / 2 / each;
   int n;
 
   if (entries < near)
@@ -33,6 +35,24 @@
   return n < near ? n : near;
 }
 
+int
+owners_count (int connections, int entries, int near)
+{
+  return count (connections, entries, near, CONNECTIONS_PER_OWNER);
+}
+
+int
+owners_spread (int connections, int entries, int near, int nservice)
+{
+  int least = owners_count (connections, entries, near);
+  int most = count (connections, entries, near, CONNECTIONS_PER_OWNER_MIN);
+  int even = nservice > 0 ? near / nservice : 0;
+
+  if (even > most)
+    even = most;
+  return even > least ? even : least;
+}
+
 static uint64_t
 rank (str_t service, str_t address)
 {
--- a/test/test_forward.c
+++ b/test/test_forward.c
@@ -22,6 +22,17 @@
   ck_assert_int_eq (owners_count (98, 78, 16), 3);
   ck_assert_int_eq (owners_count (4, 100, 10), 1);
   ck_assert_int_eq (owners_count (98, 78, 0), 0);
+  /* 8 services before 32 instances of a zone: 3 owners each would leave 8
+     without any.  Before 23 or 12, or with a few connections, there are no
+     more.  */
+  ck_assert_int_eq (owners_count (73, 99, 32), 3);
+  ck_assert_int_eq (owners_spread (73, 99, 32, 8), 4);
+  ck_assert_int_eq (owners_spread (73, 99, 30, 8), 3);
+  ck_assert_int_eq (owners_spread (73, 99, 32, 1), 4);
+  ck_assert_int_eq (owners_spread (73, 99, 12, 8), owners_count (73, 99, 12));
+  ck_assert_int_eq (owners_spread (46, 69, 23, 8), 2);
+  ck_assert_int_eq (owners_spread (4, 100, 10, 1), 1);
+  ck_assert_int_eq (owners_spread (73, 99, 0, 8), 0);
 }
 END_TEST
 
