proxy: an owner with a long queue opens one more connection to replicas

Under a shift of clients the owners of one zone have half of the statements and a third of the connections: their queue refused while the others' stood idle.

--- a/lib/proxy/candidates.c
+++ b/lib/proxy/candidates.c
@@ -2,6 +2,11 @@
 
 /* Describes the databases of a service for placement.  */
 
+enum
+{
+  QUEUE_LONG = 8 /* statements that wait for a service at an owner */
+};
+
 bool
 candidate_tried (const request_t *r, const db_t *d)
 {
@@ -26,11 +31,16 @@
 /* Number of connections for concurrent statements: one if every instance opens
    its own; for an owner, which runs the statements of many, one more than
    its share of the database's slots.  More would wait in the queue of the
-   database, which knows no priority.  */
+   database, which knows no priority.  An owner with a long queue has more than
+   its share of the clients and opens one more, but not to the primary, for the
+   sake of the statements that only it can run.  */
 static int
 wanted (proxy_t *p, service_t *v, const db_t *d)
 {
-  return service_has_owners (p, v) ? 1 + d->slots / service_sharers (p, v) : 1;
+  if (!service_has_owners (p, v))
+    return 1;
+  bool queue = d != v->leader && v->nwaiting > QUEUE_LONG;
+  return 1 + queue + d->slots / service_sharers (p, v);
 }
 
 /* This instance's share of half the database's connections, or of three
