test: crowds of clients that misbehave

One program, test/crowd/crowd.c, holds a table of crowds; each test/crowd_NAME.sh runs one of them against real processes on loopback addresses whose settings give them 64 MB and 600 descriptors (200 of them reserved). Checked: the process lives, its resident memory and the unread bytes of its sockets stay under 64 MB, it has at most 400 descriptors open, and one ordinary request is answered while the crowd is still connected. Crowds and bounds are fixed here, before any change of the product.

--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 TESTS = $(TESTSRC:test/%.c=$(B)/test/%)
 BENCHSRC = $(wildcard bench/bench_*.c)
 BENCHES = $(BENCHSRC:bench/%.c=$(B)/bench/%)
-CSRC = $(wildcard platform/*.[ch] platform/*/*.[ch] lib/*/*.[ch] cmd/*/*.[ch] include/*.h test/*.[ch] test/soak/*.[ch] bench/*.[ch])
+CSRC = $(wildcard platform/*.[ch] platform/*/*.[ch] lib/*/*.[ch] cmd/*/*.[ch] include/*.h test/*.[ch] test/soak/*.[ch] test/crowd/*.c bench/*.[ch])
 
 all: $(BINS) $(LIBA) platform
 
--- /dev/null
+++ b/test/crowd_http_slow_readers.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# The crowd http_slow_readers of test/crowd/crowd.c.
+set -eu
+. test/crowd/processes.sh
+run_crowd "$1" http_slow_readers ready control
--- a/test/rules.mk
+++ b/test/rules.mk
@@ -65,3 +65,11 @@
 	  '$(B)/test/soak/soak --seed {} --seconds $(SOAK_SECONDS) --place $$(({} % 200 + 1)) $(B)'
 
 .PHONY: soak
+
+# Crowds of misbehaving clients, and their stand-in database.
+CROWD_BINS = $(B)/test/crowd/crowd $(B)/test/crowd/db
+$(CROWD_BINS): %: %.o $(LIBA)
+	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
+-include $(wildcard $(B)/test/crowd/*.d)
+
+tests: $(CROWD_BINS)
