--- a/test/crowd/crowd.c
+++ b/test/crowd/crowd.c
@@ -35,6 +35,8 @@
   SAMPLE_TIME = 20       /* ms between looks at the process */
 };
 
+#define LISTENING "0A" /* state in /proc/net/tcp */
+
 typedef enum
 {
   READ_ALL,
@@ -143,21 +145,24 @@
 {
   struct sockaddr_in a = { .sin_family = AF_INET };
   char host[64];
-  int port = 0;
+  const char *colon = strchr (text, ':');
 
-  if (sscanf (text, "%63[0-9.]:%d", host, &port) != 2
+  if (colon == NULL
+      || !str_copy (host, sizeof host,
+                    (str_t){ (char *)text, (size_t)(colon - text) })
       || inet_pton (AF_INET, host, &a.sin_addr) != 1)
     {
       fprintf (stderr, "%s is not an address\n", text);
       exit (2);
     }
-  a.sin_port = htons ((uint16_t)port);
+  a.sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, 10));
   return a;
 }
 
 /* ---- the process ---- */
 
-/* Bytes that have arrived at the process's sockets and are not read yet.  */
+/* Bytes that have arrived at the process's sockets and are not read yet. Lines
+   of /proc/net/tcp: N: LOCAL:PORT REMOTE:PORT STATE TX:RX ...  */
 static int64_t
 unread_bytes (void)
 {
@@ -167,12 +172,16 @@
 
   while (f && fgets (line, sizeof line, f))
     {
-      unsigned ip, port, state, tx, rx;
-      if (sscanf (line, " %*d: %x:%x %*x:%*x %x %x:%x", &ip, &port, &state,
-                  &tx, &rx)
-              == 5
-          && ip == server.sin_addr.s_addr && state != 10)
-        sum += rx;
+      char *next = NULL;
+      char *word = strtok_r (line, " ", &next);
+      char *local = word ? strtok_r (NULL, " ", &next) : NULL;
+      char *remote = local ? strtok_r (NULL, " ", &next) : NULL;
+      char *state = remote ? strtok_r (NULL, " ", &next) : NULL;
+      char *queues = state ? strtok_r (NULL, " ", &next) : NULL;
+      char *rx = queues ? strchr (queues, ':') : NULL;
+      if (rx && strtoul (local, NULL, 16) == server.sin_addr.s_addr
+          && strcmp (state, LISTENING) != 0)
+        sum += strtol (rx + 1, NULL, 16);
     }
   if (f)
     fclose (f);
@@ -503,9 +512,9 @@
   if (crowd == NULL)
     return 2;
   server = parse_address (argv[2]);
-  pid = (pid_t)atoi (argv[3]);
-  int64_t memory = (int64_t)atoi (argv[4]) * MIB;
-  int64_t descriptors = atoi (argv[5]);
+  pid = (pid_t)strtol (argv[3], NULL, 10);
+  int64_t memory = strtol (argv[4], NULL, 10) * MIB;
+  int64_t descriptors = strtol (argv[5], NULL, 10);
   control = parse_address (argv[6]);
   for (int i = 0; i < crowd->clients; i++)
     client_connect (&client[i]);
--- a/test/crowd/db.c
+++ b/test/crowd/db.c
@@ -74,7 +74,7 @@
     buf_adds (out, STR ("ROW primary 1 1.1 0\r\n"));
   if (strncmp (text, "STARTUP ", 8) != 0)
     buf_fmt (out, "COMPLETE %s\r\n",
-             strncmp (verb, "READ", 4) && strncmp (verb, "WRITE", 5)
+             strncmp (verb, "READ", 4) != 0 && strncmp (verb, "WRITE", 5) != 0
                  ? "-"
                  : "signed");
   buf_fmt (out, "READY %c 1.1\r\n", *tx);
--- a/test/crowd/processes.sh
+++ b/test/crowd/processes.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=sh
 # Included by test/crowd_NAME.sh: runs the crowd NAME against a control instance,
 # an entry instance and a stand-in database on loopback addresses.
 #
