loop: a budget of bytes, and streams that stop reading

Each connection was bounded, their sum was not: 60 clients that send messages of legal size took an instance of 64 MB to 1,930 MB (test/crowd_large_messages.sh).

A loop has one budget that all holders of bytes for other machines charge. A stream with a limit stops reading at it. A message of more than 16 KiB needs a reservation; all of them together are at most half of the budget.

--- a/lib/loop/loop.c
+++ b/lib/loop/loop.c
@@ -68,6 +68,34 @@
   l->stopping = true;
 }
 
+byte_budget_t *
+loop_budget (loop_t *l)
+{
+  return &l->budget;
+}
+
+int
+loop_streams (const loop_t *l)
+{
+  return l->streams;
+}
+
+static void
+resume_paused (loop_t *l)
+{
+  stream_t **at = &l->paused;
+
+  while (*at)
+    {
+      stream_t *s = *at;
+      stream_t *next = s->next_paused;
+      if (s->closed || stream_resume (s))
+        *at = next;
+      else
+        at = &s->next_paused;
+    }
+}
+
 static void
 finish_turn (loop_t *l)
 {
@@ -80,6 +108,7 @@
       if (!s->closed)
         stream_send (s);
     }
+  resume_paused (l);
   while ((s = l->to_free) != NULL)
     {
       l->to_free = s->next_to_free;
--- a/lib/loop/stream.c
+++ b/lib/loop/stream.c
@@ -11,24 +11,145 @@
 
 enum
 {
-  READ_MAX = 256 << 10 /* bytes of one stream read in one turn */
+  READ_MAX = 256 << 10, /* bytes of one stream read in one turn */
+  OUT_KEEP = 4 << 10    /* bytes of the output buffer of an idle stream; a
+                           larger one is freed */
 };
 
 static void
 poll_for (stream_t *s, int op)
 {
-  struct epoll_event ev = { .events = EPOLLIN | (s->writing ? EPOLLOUT : 0),
-                            .data.ptr = &s->watch };
+  struct epoll_event ev
+      = { .events = (s->paused ? 0 : EPOLLIN) | (s->writing ? EPOLLOUT : 0),
+          .data.ptr = &s->watch };
 
   epoll_ctl (s->loop->poll, op, s->watch.fd, &ev);
 }
 
+/* ---- budget ---- */
+
+static byte_budget_t *
+budget (const stream_t *s)
+{
+  return &s->loop->budget;
+}
+
+static void
+release_reserved (stream_t *s)
+{
+  s->loop->reserved -= s->reserved;
+  s->reserved = 0;
+}
+
+/* Charges the buffers, after freeing those that are empty: most connections
+   are idle.  */
+static void
+charge (stream_t *s)
+{
+  size_t unread = s->paused ? STREAM_SOCKET_BUFFER : 0;
+
+  if (buf_len (&s->in) == 0 && s->in.cap)
+    buf_free (&s->in);
+  if (buf_len (&s->out) == 0 && s->out.cap > OUT_KEEP)
+    buf_free (&s->out);
+  if (buf_len (&s->in) < STREAM_IN_SMALL)
+    release_reserved (s);
+  budget_charge (budget (s), &s->held, s->in.cap + s->out.cap + unread);
+}
+
+/* Whether S may receive a large message.  Few do at the same time, so that
+   what they have begun also finds room.  */
+static bool
+reserve (stream_t *s)
+{
+  size_t most = budget (s)->limit / 2;
+  /* A buffer doubles, so that it may be twice as large as the message.  */
+  size_t n = 2 * s->in_max;
+
+  if (s->reserved)
+    return !budget_exceeded (budget (s));
+  if (most
+      && (budget_scarce (budget (s))
+          || (s->loop->reserved && s->loop->reserved + n > most)))
+    return false;
+  s->reserved = n;
+  s->loop->reserved += n;
+  return true;
+}
+
+static bool
+may_read (stream_t *s)
+{
+  size_t n = buf_len (&s->in);
+
+  if (s->in_max == 0)
+    return true;
+  return n < s->in_max && (n < STREAM_IN_SMALL || reserve (s));
+}
+
+static void
+pause_reading (stream_t *s)
+{
+  if (s->paused || s->closed || may_read (s))
+    return;
+  s->paused = true;
+  s->next_paused = s->loop->paused;
+  s->loop->paused = s;
+  poll_for (s, EPOLL_CTL_MOD);
+}
+
+bool
+stream_resume (stream_t *s)
+{
+  charge (s);
+  if (!may_read (s))
+    return false;
+  s->paused = false;
+  poll_for (s, EPOLL_CTL_MOD);
+  charge (s);
+  return true;
+}
+
+void
+stream_set_input_max (stream_t *s, size_t n)
+{
+  s->in_max = n;
+}
+
+bool
+stream_paused (const stream_t *s)
+{
+  return s->paused;
+}
+
+size_t
+stream_held (const stream_t *s)
+{
+  return s->held;
+}
+
+bool
+stream_may_answer (const stream_t *s)
+{
+  return buf_len (&s->out) < STREAM_OUT_HIGH;
+}
+
+msec_t
+stream_stalled (const stream_t *s)
+{
+  return s->stalled_since ? s->loop->now - s->stalled_since : 0;
+}
+
+/* ---- life ---- */
+
 static void
 mark_closed (stream_t *s)
 {
   if (s->closed)
     return;
   s->closed = true;
+  s->loop->streams--;
+  release_reserved (s);
   close (s->watch.fd);
   s->next_to_free = s->loop->to_free;
   s->loop->to_free = s;
@@ -46,6 +167,7 @@
 void
 stream_free (stream_t *s)
 {
+  budget_charge (budget (s), &s->held, 0);
   buf_free (&s->in);
   buf_free (&s->out);
   free (s);
@@ -55,6 +177,7 @@
 stream_send (stream_t *s)
 {
   err_t e = { 0 };
+  size_t before = buf_len (&s->out);
 
   if (!s->connected || s->closed)
     return;
@@ -71,6 +194,11 @@
       fail (s, &e);
       return;
     }
+  if (left == 0)
+    s->stalled_since = 0;
+  else if (s->stalled_since == 0 || (size_t)left < before)
+    s->stalled_since = s->loop->now;
+  charge (s);
   if (s->writing != (left > 0))
     {
       s->writing = left > 0;
@@ -104,19 +232,49 @@
 {
   err_t e = { 0 };
   long got = 0, total = 0;
+  bool added = false;
 
-  while (total < READ_MAX && (got = rpc_read (s->watch.fd, &s->in, &e)) > 0)
+  while (!s->closed && total < READ_MAX && may_read (s)
+         && (got = rpc_read (s->watch.fd, &s->in, &e)) > 0)
     {
       total += got;
+      added = true;
       /* A read of less than READ_CHUNK of sock.c has emptied the socket; epoll
          reports what arrives later.  */
       if (got < 16 << 10)
         break;
+      /* Small messages are handled before it is known whether there is a large
+         one, and then whether it may be read.  */
+      if (s->in_max && s->reserved == 0)
+        {
+          s->ops->input (s->arg);
+          added = false;
+        }
     }
-  if (total)
+  if (s->closed)
+    return;
+  charge (s);
+  if (added)
     s->ops->input (s->arg);
   if (got < 0 && !s->closed)
     fail (s, &e);
+  if (s->closed)
+    return;
+  pause_reading (s);
+  charge (s);
+}
+
+/* Sends unsent bytes.  The input that waited for room is handled.  */
+static void
+write_output (stream_t *s)
+{
+  bool full = !stream_may_answer (s);
+
+  stream_send (s);
+  if (s->closed || s->in_max == 0 || !full || !stream_may_answer (s))
+    return;
+  if (buf_len (&s->in))
+    s->ops->input (s->arg);
 }
 
 static void
@@ -135,8 +293,15 @@
       return;
     }
   if (events & EPOLLOUT)
-    stream_send (s);
-  if (!s->closed && (events & (EPOLLIN | EPOLLERR | EPOLLHUP)))
+    write_output (s);
+  if (s->closed)
+    return;
+  if (s->paused && (events & (EPOLLERR | EPOLLHUP)))
+    {
+      err_set (&e, ERR_CLOSED, "connection", "closed by the peer");
+      fail (s, &e);
+    }
+  else if (events & (EPOLLIN | EPOLLERR | EPOLLHUP))
     read_input (s);
 }
 
@@ -153,6 +318,7 @@
   s->arg = arg;
   buf_init (&s->in);
   buf_init (&s->out);
+  l->streams++;
   return s;
 }
 
