proxy: limits on what clients can make the process use

Sessions, statements in progress, answers and rows on connections charge the budget. While it is exceeded the sessions that hold the most are closed with BUSY. Above a share of the descriptors a new session replaces one without a start-up message or one that is idle, so that the rest stays for databases, peers and control. A message has 30 s to arrive, and a client that takes no byte of its answers for 30 s is closed. A session is read 16 KiB ahead of its statement, and gets no further answer while 64 KiB are unsent.

A message in many pieces was scanned again with each piece; may_decode of the codec spares that.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -110,6 +110,10 @@
   /* POS: position of the session's last write, sent to a forwarding instance;
      otherwise none.  */
   void (*ready) (buf_t *out, tx_t state, pos_t pos);
+  /* Whether DECODE may have an answer other than 0 for IN, whose first SEEN
+     bytes it found incomplete.  Spares it to read a message again with each
+     piece of it.  May be NULL.  */
+  bool (*may_decode) (str_t in, size_t seen);
 } client_codec_t;
 
 typedef enum
@@ -422,6 +426,8 @@
   msec_t grace;           /* from SIGTERM to the exit of the process; 0:
                              unknown */
   msec_t startup_timeout; /* from accept to a client's start-up message */
+  size_t memory;          /* bytes that the process may use; 0: unlimited */
+  int descriptors;        /* that it may open; 0: unlimited */
   const client_codec_t *client;
   const db_codec_t *db;
 } proxy_conf_t;
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -95,7 +95,7 @@
 
   if (f == NULL)
     abort ();
-  if (x)
+  if (x && limits_may_dial (p))
     f->stream = stream_dial (p->loop, str_of (x->address), PEER_ACK_TIMEOUT,
                              &peer_ops, s, &e);
   if (f->stream == NULL)
@@ -381,6 +381,7 @@
       buf_take (stream_in (st), used);
       got = 0;
     }
+  session_charge (s);
   if (got == 0 || s->forward == NULL)
     return;
   stream_close (s->forward->stream);
--- a/lib/proxy/link.c
+++ b/lib/proxy/link.c
@@ -89,6 +89,7 @@
 link_free (link_t *k)
 {
   remove_link (k);
+  budget_charge (loop_budget (proxy_of (k)->loop), &k->held, 0);
   values_free (&k->values);
   values_free (&k->prepared);
   buf_free (&k->rows);
@@ -186,6 +187,9 @@
     k->session->link = NULL;
   k->session = NULL;
   k->since = p->now;
+  if (k->nstep)
+    buf_free (&k->rows);
+  link_charge (k);
   if (k->nstep)
     return; /* finish_step releases it after the last answer */
   if (k->in_tx)
@@ -294,6 +298,8 @@
   switch (m->kind)
     {
     case DB_ROW:
+      if (k->session == NULL)
+        return; /* its session has closed */
       buf_add (&k->rows, &n, sizeof n);
       buf_adds (&k->rows, m->text);
       return;
@@ -351,4 +357,6 @@
   /* A malformed message, or an answer without a request.  */
   if (got != 0)
     close_malformed (p, k);
+  else
+    link_charge (k);
 }
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -27,7 +27,16 @@
   /* Steps in flight on one connection: the settings of a session, and the
      reset, preparation, BEGIN, statement and ROLLBACK beside them.  */
   STEPS_MAX = SETTINGS_MAX + 8,
-  CONNECT_TIMEOUT = 700, /* for opening a connection to a database */
+  /* Bytes received ahead of the statement in progress, and of one message: 1
+     MiB and what lets the codec tell that it is longer.  */
+  AHEAD_MAX = STREAM_IN_SMALL,
+  MESSAGE_MAX = (1 << 20) + (64 << 10),
+  MESSAGE_TIMEOUT = 30000, /* from the first byte of a message to its last; 1
+                              MiB takes 4 s at 2 Mbit/s */
+  READER_TIMEOUT = 30000,  /* without taking a byte of an answer */
+  REPLACE_IDLE = 5000,     /* idle for this time, a session gives way to a new
+                              one while there is no descriptor for both */
+  CONNECT_TIMEOUT = 700,   /* for opening a connection to a database */
   ACK_TIMEOUT = 3000, /* without a TCP acknowledgement a connection is lost */
 
   /* How long an idle connection to a database is kept: */
@@ -183,8 +192,9 @@
   values_t prepared;      /* statement_key to its name on the connection */
   int64_t prepared_names; /* names given on the connection so far */
   /* The answer to the oldest step, as far as received.  */
-  buf_t rows; /* rows of STEP_OP, each after its uint32_t length */
-  buf_t text; /* signature or error */
+  size_t held; /* bytes charged to the budget */
+  buf_t rows;  /* rows of STEP_OP, each after its uint32_t length */
+  buf_t text;  /* signature or error */
   fail_t fail;
   bool done;
 };
@@ -335,6 +345,9 @@
   msec_t last_write_at; /* when it was acknowledged here; 0: elsewhere */
   route_entry_t route;
   request_t req;
+  size_t seen;          /* bytes of the input that are no whole message */
+  msec_t message_since; /* the message being received began; 0: none */
+  size_t held;          /* bytes charged to the budget, beside the stream's */
 };
 
 /* ---- quotas ---- */
@@ -457,6 +470,16 @@
   CAUSES
 };
 
+/* Why a session of a client that uses too much was closed.  */
+typedef enum
+{
+  EVICT_MEMORY,      /* it held the most when the budget was exceeded */
+  EVICT_DESCRIPTORS, /* no descriptor was left for it */
+  EVICT_MESSAGE,     /* its message took too long */
+  EVICT_READER,      /* it took no byte of its answers */
+  EVICTIONS
+} eviction_t;
+
 struct proxy
 {
   apr_pool_t *pool;
@@ -502,6 +525,8 @@
   msec_t wake;        /* next time-out; -1: none */
   msec_t warmed_at;   /* last connection opened in advance */
   atomic_bool ready;
+  counter_t *evicted[EVICTIONS];
+  counter_t *budget_used;
   counter_t *retried;
   counter_t *opened;
   counter_t *gave_way;
@@ -781,6 +806,24 @@
 /* stop_turn: ends the loop when all sessions are closed, or it is time.  */
 void stop_turn (proxy_t *p, msec_t now);
 
+/* limits.c: clients that use more than their share.  */
+/* limits_new: derives the limits from the configuration of P.  */
+void limits_new (proxy_t *p);
+/* limits_accept: makes room for another session; false when there is no
+   descriptor for it.  */
+bool limits_accept (proxy_t *p, bool from_peer);
+/* limits_may_dial: whether a descriptor is left to forward a session.  */
+bool limits_may_dial (const proxy_t *p);
+/* session_charge, link_charge: charge what they hold to the budget.  */
+void session_charge (session_t *s);
+void link_charge (link_t *k);
+/* limits_turn: closes the sessions that hold the most while the budget is
+   exceeded.  */
+void limits_turn (proxy_t *p);
+/* limits_expire: closes S when its message, or the reading of its answers,
+   takes too long.  True when it was closed.  */
+bool limits_expire (session_t *s, msec_t now);
+
 /* sweep.c */
 /* sessions_sweep: applies time limits, and closes sessions while draining.  */
 void sessions_sweep (proxy_t *p, msec_t now);
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -26,6 +26,11 @@
       int fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
         return;
+      if (!limits_accept (p, from_peer))
+        {
+          close (fd);
+          continue;
+        }
       session_open (p, fd, from_peer);
       wake_at (p, p->now + p->conf.startup_timeout);
     }
@@ -49,6 +54,19 @@
   accept_all (p, p->peer_listener, true);
 }
 
+/* Bytes that the kernel keeps while a session does not read count as memory of
+   the process.  */
+static int
+listen_bounded (str_t address, err_t *e)
+{
+  const int bytes = STREAM_SOCKET_BUFFER;
+  int fd = rpc_listen (address, e);
+
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  return fd;
+}
+
 proxy_t *
 proxy_new (apr_pool_t *pool, loop_t *l, const proxy_conf_t *c, err_t *e)
 {
@@ -71,12 +89,13 @@
   metrics_new (p);
   if (!gate_new (p, e))
     return NULL;
-  p->listener = rpc_listen (c->listen, e);
+  limits_new (p);
+  p->listener = listen_bounded (c->listen, e);
   if (p->listener < 0 || !loop_watch (l, p->listener, on_client, p, e))
     return NULL;
   if (c->peers_listen.n == 0)
     return p;
-  p->peer_listener = rpc_listen (c->peers_listen, e);
+  p->peer_listener = listen_bounded (c->peers_listen, e);
   return p->peer_listener >= 0
                  && loop_watch (l, p->peer_listener, on_peer, p, e)
              ? p
@@ -133,6 +152,7 @@
   if (p->stop_at >= 0)
     stop_turn (p, now);
   health_turn (p, now);
+  limits_turn (p);
   for (session_t *s = p->sessions; s; s = s->next)
     if (s->forward && s->forward->active)
       wake_at (p, now + SWEEP_INTERVAL);
--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -36,6 +36,7 @@
   p->sessions = s;
   p->nsession++;
   s->stream = stream_accept (p->loop, fd, &session_ops, s);
+  stream_set_input_max (s->stream, MESSAGE_MAX);
 }
 
 static void
@@ -54,6 +55,7 @@
   if (s->next)
     s->next->prev = s->prev;
   p->nsession--;
+  budget_charge (loop_budget (p->loop), &s->held, 0);
   values_free (&s->values);
   values_free (&s->prepared);
   buf_free (&s->req.text);
@@ -406,6 +408,38 @@
   return s->tx == TX_NONE && health_draining (s->proxy, s->proxy->now);
 }
 
+static int
+decode_next (session_t *s, size_t *used, client_msg_t *m)
+{
+  const client_codec_t *c = s->proxy->conf.client;
+  str_t in = buf_str (stream_in (s->stream));
+
+  if (s->seen && c->may_decode && !c->may_decode (in, s->seen))
+    {
+      s->seen = in.n;
+      return 0;
+    }
+  int got = c->decode (in, used, m);
+  s->seen = got == 0 ? in.n : 0;
+  return got;
+}
+
+/* After handling the input of S, of which INCOMPLETE: part of a message is
+   left.  */
+static void
+note_input (session_t *s, bool incomplete)
+{
+  bool waits = is_busy (s) || !stream_may_answer (s->stream);
+  bool receives = !waits && incomplete && buf_len (stream_in (s->stream));
+
+  if (!receives || stream_paused (s->stream))
+    s->message_since = 0;
+  else if (s->message_since == 0)
+    s->message_since = s->proxy->now;
+  stream_set_input_max (s->stream, waits ? AHEAD_MAX : MESSAGE_MAX);
+  session_charge (s);
+}
+
 void
 session_advance (session_t *s)
 {
@@ -417,10 +451,8 @@
   /* Without a configuration it isn't known which databases exist.  */
   if (p->setup == NULL)
     return;
-  while (!is_busy (s)
-         && (got = p->conf.client->decode (buf_str (stream_in (s->stream)),
-                                           &used, &m))
-                > 0)
+  while (!is_busy (s) && stream_may_answer (s->stream)
+         && (got = decode_next (s, &used, &m)) > 0)
     {
       stream_t *st = s->stream;
       str_t raw = { buf_str (stream_in (st)).p, used };
@@ -445,6 +477,8 @@
       if (!open)
         return;
       buf_take (stream_in (st), used);
+      s->message_since = 0;
+      s->seen = 0;
     }
   if (got < 0)
     {
@@ -453,6 +487,7 @@
       session_end (s);
       return;
     }
+  note_input (s, got == 0);
   if (!is_busy (s) && may_close (s))
     wake_at (p, p->now);
 }
@@ -472,6 +507,7 @@
   proxy_t *p = s->proxy;
 
   s->last_active = p->now;
+  session_charge (s);
   /* The sweep at the end of this turn handles input received meanwhile.  It
      also closes the session of a draining instance, before the client sends
      its next statement.  */
--- a/lib/proxy/sweep.c
+++ b/lib/proxy/sweep.c
@@ -91,7 +91,7 @@
 static void
 sweep_one (session_t *s, msec_t now)
 {
-  if (start_expired (s, now)
+  if (start_expired (s, now) || limits_expire (s, now)
       || (may_refuse (s)
           && caller_check (s, s->req.active ? &s->req.op : NULL)
                  == CALLER_CLOSED))
