httpd, platform: connections give way, bodies are charged to the budget

An HTTP address with as many connections as may be answered nobody else: 1,500 connections to readiness or to control shut out the probe, and 300 half-sent bodies of 3 MiB took 908 MB. When seven eighths of its connections are open, each new one replaces the oldest without a request, or the one that is unused for the longest time. Large bodies get 503 while the budget is scarce.

--- a/include/httpd.h
+++ b/include/httpd.h
@@ -6,7 +6,10 @@
 
    Connections are kept open between requests.  When three quarters of the
    limit are open, each is closed after its answer, so that new callers get in.
- */
+   When seven eighths are open, each new one replaces another: the oldest that
+   never completed a request, or the one that last did so the longest ago.
+   Bodies and responses are charged to a budget of bytes; while it is scarce,
+   large ones get status 503.  */
 
 #ifndef HTTPD_H
 #define HTTPD_H
@@ -16,7 +19,10 @@
 
 enum
 {
-  HTTPD_BODY_MAX = 4 << 20 /* bytes of a request; more gives status 413 */
+  HTTPD_BODY_MAX = 4 << 20, /* bytes of a request; more gives status 413 */
+  HTTPD_CONNECTIONS_MAX = 2048,
+  HTTPD_CONNECTION_BYTES = 16 << 10 /* of a connection, for headers and
+                                       buffers */
 };
 
 typedef struct httpd httpd_t;
@@ -28,6 +34,8 @@
   const char *path;
   buf_t body;
   bool too_large; /* longer than HTTPD_BODY_MAX */
+  bool too_busy;  /* there was no memory for the body */
+  size_t held;    /* bytes charged to the budget */
   /* The response.  */
   unsigned status;
   str_t type; /* content type */
@@ -44,7 +52,8 @@
   /* Handles R in the server's thread; false to put it into the ring.  */
   bool (*handle) (void *arg, httpd_req_t *r);
   void *arg;
-  unsigned connections; /* at a time, at most; 0: half of the descriptors */
+  unsigned connections;  /* at a time, at most; 0: half of the descriptors */
+  byte_budget_t *budget; /* for bodies and responses; may be NULL */
 } httpd_ops_t;
 
 /* httpd_new: listens on ADDRESS.  Requests that HANDLE does not answer go into
