proxy: time limits of messages and readers are set by the program

test_clients checks the limits on clients in the loop of the test: a half-sent message is closed, messages sent ahead stay with the client, the largest sessions are closed when the budget is exceeded and a small one goes on, and a single large message is served.

--- a/include/proxy.h
+++ b/include/proxy.h
@@ -426,6 +426,10 @@
   msec_t grace;           /* from SIGTERM to the exit of the process; 0:
                              unknown */
   msec_t startup_timeout; /* from accept to a client's start-up message */
+  msec_t message_timeout; /* from the first byte of a message to its last; 0:
+                             none */
+  msec_t reader_timeout;  /* that a client may take no byte of its answers; 0:
+                             none */
   size_t memory;          /* bytes that the process may use; 0: unlimited */
   int descriptors;        /* that it may open; 0: unlimited */
   const client_codec_t *client;
--- a/lib/proxy/limits.c
+++ b/lib/proxy/limits.c
@@ -205,9 +205,13 @@
 bool
 limits_expire (session_t *s, msec_t now)
 {
-  if (s->message_since && now - s->message_since >= MESSAGE_TIMEOUT)
+  const proxy_conf_t *c = &s->proxy->conf;
+
+  if (c->message_timeout && s->message_since
+      && now - s->message_since >= c->message_timeout)
     evict (s, EVICT_MESSAGE, FAIL_TIMEOUT, STR ("the message took too long"));
-  else if (stream_stalled (s->stream) >= READER_TIMEOUT)
+  else if (c->reader_timeout
+           && stream_stalled (s->stream) >= c->reader_timeout)
     evict (s, EVICT_READER, FAIL_TIMEOUT, STR ("answers are not read"));
   else
     return false;
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -31,12 +31,9 @@
      MiB and what lets the codec tell that it is longer.  */
   AHEAD_MAX = STREAM_IN_SMALL,
   MESSAGE_MAX = (1 << 20) + (64 << 10),
-  MESSAGE_TIMEOUT = 30000, /* from the first byte of a message to its last; 1
-                              MiB takes 4 s at 2 Mbit/s */
-  READER_TIMEOUT = 30000,  /* without taking a byte of an answer */
-  REPLACE_IDLE = 5000,     /* idle for this time, a session gives way to a new
-                              one while there is no descriptor for both */
-  CONNECT_TIMEOUT = 700,   /* for opening a connection to a database */
+  REPLACE_IDLE = 5000,   /* idle for this time, a session gives way to a new
+                            one while there is no descriptor for both */
+  CONNECT_TIMEOUT = 700, /* for opening a connection to a database */
   ACK_TIMEOUT = 3000, /* without a TCP acknowledgement a connection is lost */
 
   /* How long an idle connection to a database is kept: */
--- a/test/stage.c
+++ b/test/stage.c
@@ -816,6 +816,7 @@
                      .ncontrol = 2,
                      .grace = 6000,
                      .startup_timeout = 700,
+                     .message_timeout = 700,
                      .client = &pf_client,
                      .db = &pf_db };
   proxy_t *p = NULL;
