--- a/include/base.h
+++ b/include/base.h
@@ -79,7 +79,7 @@
 static inline str_t
 buf_str (const buf_t *b)
 {
-  return (str_t){ b->p + b->off, b->n - b->off };
+  return (str_t){ b->p ? b->p + b->off : NULL, b->n - b->off };
 }
 
 /* ---- errors ---- */
--- a/lib/rpc/codec.c
+++ b/lib/rpc/codec.c
@@ -461,10 +461,9 @@
 int
 rpc_frame (const buf_t *in, str_t *body, err_t *e)
 {
-  const unsigned char *p = (const unsigned char *)in->p + in->off;
-
   if (buf_len (in) < 4)
     return 0;
+  const unsigned char *p = (const unsigned char *)in->p + in->off;
   size_t n
       = (size_t)p[0] << 24 | (size_t)p[1] << 16 | (size_t)p[2] << 8 | p[3];
   if (n > RPC_MAX_FRAME)
