proxy: a session that is closed for its use of memory gets no false promise

BUSY says that a statement has not run. A session that was closed with a write or commit in progress got it too; now only a read is answered, and the others lose their connection. A forwarding instance took the error without a request for a violation of the protocol, and avoided an owner for 2 s that had closed an idle session; both owners of a service could so be avoided by all instances.

--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -209,7 +209,9 @@
              "instance=%s host=" STR_FMT " cause=%s active=%d ms=%lld",
              f->address, STR_ARG (s->host), cause, active,
              active ? (long long)(p->now - f->sent) : 0LL);
-  endpoint_avoid (p, f->address);
+  /* One that closes a session between statements has other work to do.  */
+  if (active || !up)
+    endpoint_avoid (p, f->address);
   if (p->now - p->watch.has_leader_at >= CONTROL_TIMEOUT / 2)
     p->owner_lost_at = p->now;
   forward_free (s);
--- a/lib/proxy/limits.c
+++ b/lib/proxy/limits.c
@@ -53,6 +53,21 @@
 
 /* ---- closing ---- */
 
+/* Tells the client why S is closed.  Of statements in progress only a read is
+   answered: BUSY says that it has not taken effect.  An instance that forwards
+   takes an error without a request for a violation of the protocol.  */
+static void
+explain (session_t *s, fail_t f, str_t why)
+{
+  const request_t *r = &s->req;
+  bool forwarded = s->forward && s->forward->active;
+
+  if (r->active && r->read_only && s->tx == TX_NONE)
+    session_refuse (s, FAIL_BUSY, why);
+  else if (!r->active && !forwarded && !s->from_peer)
+    s->proxy->conf.client->error (stream_out (s->stream), f, why);
+}
+
 static void
 evict (session_t *s, eviction_t cause, fail_t f, str_t why)
 {
@@ -65,7 +80,7 @@
              s->held + stream_held (s->stream),
              (long long)(p->now - s->last_active));
   counter_add (p->evicted[cause], 1);
-  p->conf.client->error (stream_out (s->stream), f, why);
+  explain (s, f, why);
   session_end (s);
 }
 
