test: crowds at an instance that forwards its sessions

A crowd arrives at the owners of connections through other instances. The same crowds and bounds as before, at an instance that forwards to another one, whose memory is checked as well.

--- a/test/crowd/processes.sh
+++ b/test/crowd/processes.sh
@@ -3,11 +3,13 @@
 # an entry instance and a stand-in database on loopback addresses.
 #
 # run_crowd BUILD NAME TARGET...: TARGET is entry, ready or control, the address that
-# the crowd connects to.
+# the crowd connects to; forwarded: an entry instance that forwards its sessions to
+# two others, whose memory is checked as well.
 #
 # The settings give each process 64 MB and 600 descriptors, of which 200 are
 # reserved for files outside of the process.
 memory=64
+connections=20 # to the database
 descriptors=600
 reserved=200
 
@@ -35,7 +37,7 @@
 }
 put_config () {
   curl -s -o /dev/null -w '%{http_code}' -m 2 -X PUT --data-binary @- http://127.0.9.1:28782/pimentopost/config <<J || true
-{"version":1,"services":[{"name":"s","max-conns":20}],
+{"version":1,"services":[{"name":"s","max-conns":$connections}],
 "routes":[{"host":"hcrowd","service":"s","timeout-ms":2000,"route-kind":"primary"}],
 "limits":{"tx-idle-ms":3000}}
 J
@@ -71,18 +73,36 @@
   pids="$pids $!"
   start control pimentopost-control
   start entry pimentopost-entry
+  others=
+  if [ "$3" = forwarded ]; then
+    connections=4
+    for i in 4 5; do
+      settings owner$i 127.0.9.$i "\"front\":\"127.0.9.$i:28784\",\"ready\":\"127.0.9.$i:28785\""
+      start owner$i pimentopost-entry
+      others="$others $!"
+    done
+  fi
   until_ok "the configuration is not accepted" configured
   heartbeats &
   pids="$pids $!"
   until_ok "the entry instance is not ready" ready
   # shellcheck disable=SC2154 # set by start
   case $3 in
-    entry) at=127.0.9.2:28784 pid=$pid_entry ;;
+    entry | forwarded) at=127.0.9.2:28784 pid=$pid_entry ;;
     ready) at=127.0.9.2:28785 pid=$pid_entry ;;
     control) at=127.0.9.1:28782 pid=$pid_control ;;
   esac
   result=0
   "$1/test/crowd/crowd" "$2" "$at" "$pid" $memory $((descriptors - reserved)) 127.0.9.1:28782 || result=1
+  for p in $others; do
+    peak=$(awk '/^VmHWM/ { print $2 }' "/proc/$p/status" 2>/dev/null || true)
+    echo "$name: memory of another instance ${peak:-none} kB"
+    [ "${peak:-0}" -gt 0 ] && [ "${peak:-0}" -le $((memory * 1024)) ] || result=1
+  done
+  if [ -n "$others" ]; then
+    curl -s -m 2 http://127.0.9.2:28785/metrics | grep -q '^pimentopost_forwarded_total [1-9]' || {
+      echo "$name: no session was forwarded"; result=1; }
+  fi
   [ $result = 0 ] || tail -n 5 "$dir"/*.log
   cleanup
   return $result
