proxy: clients that do not read, or send far ahead, give way to others

200 clients that send ahead at an instance that forwards need two descriptors each, and all are busy: an ordinary client found none (crowd_forwarded_sent_ahead, not answered within 10 s; answered now). Above its share of the descriptors a new session also replaces one whose client has taken no byte for 1 s or has sent more than is read ahead. The kernel keeps 64 KiB to send, so that this shows before megabytes of answers wait there.

--- a/lib/proxy/limits.c
+++ b/lib/proxy/limits.c
@@ -103,7 +103,14 @@
 
   if (!s->started)
     return true;
-  return !active && !in_tx && s->proxy->now - s->last_active >= REPLACE_IDLE;
+  if (in_tx)
+    return false;
+  /* Its client has sent more ahead than is received.  */
+  if (stream_paused (s->stream))
+    return true;
+  return !active
+         && (s->proxy->now - s->last_active >= REPLACE_IDLE
+             || stream_stalled (s->stream) >= REPLACE_STALLED);
 }
 
 bool
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -31,8 +31,11 @@
      MiB and what lets the codec tell that it is longer.  */
   AHEAD_MAX = STREAM_IN_SMALL,
   MESSAGE_MAX = (1 << 20) + (64 << 10),
-  REPLACE_IDLE = 5000,   /* idle for this time, a session gives way to a new
-                            one while there is no descriptor for both */
+  /* While there is no descriptor for both, a session gives way to a new one
+     when it is idle, or its client takes no byte of its answers, for this
+     time.  */
+  REPLACE_IDLE = 5000,
+  REPLACE_STALLED = 1000,
   CONNECT_TIMEOUT = 700, /* for opening a connection to a database */
   ACK_TIMEOUT = 3000, /* without a TCP acknowledgement a connection is lost */
 
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -55,7 +55,8 @@
 }
 
 /* Bytes that the kernel keeps while a session does not read count as memory of
-   the process.  */
+   the process, and with few to send it shows soon that a client does not
+   read.  */
 static int
 listen_bounded (str_t address, err_t *e)
 {
@@ -63,7 +64,10 @@
   int fd = rpc_listen (address, e);
 
   if (fd >= 0)
-    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+    {
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+      setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof bytes);
+    }
   return fd;
 }
 
