httpd, proxy: each limit has a log event and a metric

Connections that were replaced and requests that were refused by the HTTP server had a metric only, refused sessions a log event only.

--- a/include/events.h
+++ b/include/events.h
@@ -19,6 +19,7 @@
 #include "../lib/dblink/events.def"
 #include "../lib/proxy/events.def"
 #include "../lib/cell/events.def"
+#include "../lib/httpd/events.def"
 #include "../platform/events.def"
 #include "../cmd/ppdbsim/events.def"
 #include "../cmd/ppload/events.def"
--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -117,6 +117,8 @@
   conn_remove (h, c);
   shutdown (c->fd, SHUT_RDWR);
   counter_add (h->replaced, 1);
+  log_event (EV_HTTP_REPLACED, "served=%d open=%u limit=%u", c->served,
+             h->fresh.n + h->served.n, h->limit);
 }
 
 static void
@@ -273,6 +275,7 @@
     {
       r->too_busy = true;
       counter_add (h->refused, 1);
+      log_event (EV_HTTP_REFUSED, "path=%s bytes=%zu", r->path, all);
     }
   else
     buf_add (&r->body, data, n);
--- a/lib/proxy/limits.c
+++ b/lib/proxy/limits.c
@@ -31,6 +31,9 @@
       p->evicted[i]
           = counter_get (name, "sessions closed since they use too much");
     }
+  p->refused = counter_get ("pimentopost_sessions_refused_total",
+                            "connections closed at once for lack of a "
+                            "descriptor");
   p->budget_used = counter_get ("pimentopost_budget_bytes",
                                 "bytes held on behalf of other machines");
 }
@@ -128,7 +131,10 @@
     evict (oldest, EVICT_DESCRIPTORS, FAIL_TOOMANY,
            STR ("too many connections"));
   else
-    log_event (EV_SESSION_REFUSED, "streams=%d", loop_streams (p->loop));
+    {
+      log_event (EV_SESSION_REFUSED, "streams=%d", loop_streams (p->loop));
+      counter_add (p->refused, 1);
+    }
   return oldest != NULL;
 }
 
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -526,6 +526,7 @@
   msec_t warmed_at;   /* last connection opened in advance */
   atomic_bool ready;
   counter_t *evicted[EVICTIONS];
+  counter_t *refused;
   counter_t *budget_used;
   counter_t *retried;
   counter_t *opened;
