--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -512,10 +512,10 @@
   int callers_refused;       /* since then */
   bool has_quotas;           /* a tenant of the configuration has a rate */
   gate_t *gate;
-  double rates;              /* of all tenants of SETUP */
-  int64_t rates_version;     /* version of SETUP that they are of */
-  int nlabelled;             /* tenants that have metrics of their own */
-  link_t *closed_links;      /* closed, freed at the next turn */
+  double rates;          /* of all tenants of SETUP */
+  int64_t rates_version; /* version of SETUP that they are of */
+  int nlabelled;         /* tenants that have metrics of their own */
+  link_t *closed_links;  /* closed, freed at the next turn */
   watcher_t watch;
   apr_pool_t *setup_pool;
   setup_t *setup;
