--- a/lib/quota/limit.c
+++ b/lib/quota/limit.c
@@ -7,26 +7,11 @@
    rest is left for failures.  */
 #define SLACK_CAPACITY 0.4
 #define SLACK_RATE 0.2
-/* What an accountant keeps of the burst as capacity: this many operations, or
-   this part if that is more.  The rest comes as rate over the window: a tenant
-   that asks for more than its rate all the time gets what a window allows.  */
-#define CAPACITY_KEPT 40.0
-#define CAPACITY_KEPT_PART 0.3
 /* What an accountant that isn't the first grants, as a part of the fleet's
    rate and of the zone's.  */
-#define SECOND_OF_FLEET 0.08
+#define SECOND_OF_FLEET 0.05
 #define SECOND_MAX 0.5
 
-static double
-capacity_kept (double at_once)
-{
-  double kept = at_once * CAPACITY_KEPT_PART;
-
-  if (kept < CAPACITY_KEPT)
-    kept = CAPACITY_KEPT;
-  return kept < at_once ? kept : at_once;
-}
-
 quota_limit_t
 quota_limit (const quota_rule_t *r, int64_t version, int64_t rate,
              int64_t burst)
@@ -39,13 +24,11 @@
   /* Late grants and hand-overs need an excess of EXCESS_NEEDED.  */
   if (r->excess < EXCESS_NEEDED)
     part *= (1 + r->excess) / (1 + EXCESS_NEEDED);
-  double at_once = (double)burst * part;
-  double kept = capacity_kept (at_once);
-  quota_limit_t l = { .version = version,
-                      .rate = (double)rate * part + (at_once - kept) / window
-                              + slack * SLACK_RATE / window,
-                      .capacity = kept + slack * SLACK_CAPACITY,
-                      .second = SECOND_OF_FLEET * zones };
+  quota_limit_t l
+      = { .version = version,
+          .rate = (double)rate * part + slack * SLACK_RATE / window,
+          .capacity = (double)burst * part + slack * SLACK_CAPACITY,
+          .second = SECOND_OF_FLEET * zones };
 
   if (l.second > SECOND_MAX)
     l.second = SECOND_MAX;
