quota: what was granted in a window is counted beside the bucket

Change: an accountant counts its grants in 20 parts of the window and one more, and gives out the rule's amount in it; the bucket bounds what a predecessor can have granted just before a hand-over.

--- a/include/quota.h
+++ b/include/quota.h
@@ -18,13 +18,14 @@
                          returned */
   QUOTA_RETURN_SLOT = 200, /* ms; returns are accepted for the grants of the
                               current and the previous slot */
-  QUOTA_FREEZE = 500,      /* ms between two turns after which buckets empty */
-  QUOTA_RETRY_MIN = 20,    /* ms that a holder without tokens waits at least */
-  QUOTA_RETRY_MAX = 5000,  /* and at most */
-  QUOTA_SETTLE = 700, /* ms of contact with control after which others have
-                         a change of the list of instances too */
-  QUOTA_LISTS = 3,    /* earlier lists of instances that are kept */
-  QUOTA_RANKS = 2,    /* accountants that are asked one after the other */
+  QUOTA_SLOTS = 21, /* of the window, and one for grants that are used later */
+  QUOTA_FREEZE = 500,     /* ms between two turns after which buckets empty */
+  QUOTA_RETRY_MIN = 20,   /* ms that a holder without tokens waits at least */
+  QUOTA_RETRY_MAX = 5000, /* and at most */
+  QUOTA_SETTLE = 700,     /* ms of contact with control after which others have
+                             a change of the list of instances too */
+  QUOTA_LISTS = 3,        /* earlier lists of instances that are kept */
+  QUOTA_RANKS = 2,        /* accountants that are asked one after the other */
   QUOTA_BUCKETS_MAX = 16384 /* tenants of one accountant */
 };
 
@@ -46,6 +47,8 @@
   int64_t version; /* of the configuration */
   double rate;     /* tokens a second */
   double capacity; /* tokens */
+  double most;     /* tokens in a window; 0: no limit of it */
+  msec_t window;   /* ms */
   double second;   /* part of RATE of an accountant that isn't the first */
 } quota_limit_t;
 
--- a/lib/quota/table.c
+++ b/lib/quota/table.c
@@ -35,6 +35,10 @@
   msec_t second_since; /* not the first accountant since then; -1: is it */
   msec_t slot;         /* start of the current slot of grants */
   int out[2];          /* granted in the current and the previous slot */
+  /* Granted in the window, in parts of it.  */
+  int64_t part; /* number of the current one */
+  int granted[QUOTA_SLOTS];
+  int sum;
 } bucket_t;
 
 struct quota_table
@@ -224,6 +228,61 @@
   b->slot = now;
 }
 
+static msec_t
+part_length (const bucket_t *b)
+{
+  msec_t ms = b->limit.window / (QUOTA_SLOTS - 1);
+
+  return ms > 0 ? ms : 1;
+}
+
+/* Drops the parts that are out of the window at NOW.  */
+static void
+turn_window (bucket_t *b, msec_t now)
+{
+  int64_t part = now / part_length (b);
+  int64_t n = part - b->part;
+
+  for (int64_t i = n > QUOTA_SLOTS || n < 0 ? QUOTA_SLOTS : n; i > 0; i--)
+    {
+      int *x = &b->granted[(part - i + 1 + QUOTA_SLOTS) % QUOTA_SLOTS];
+      b->sum -= *x;
+      *x = 0;
+    }
+  b->part = part;
+}
+
+static void
+grant (bucket_t *b, int n)
+{
+  b->level -= n;
+  b->out[0] += n;
+  b->granted[b->part % QUOTA_SLOTS] += n;
+  b->sum += n;
+}
+
+/* Takes N of the latest grants out of the window.  */
+static void
+ungrant (bucket_t *b, int n)
+{
+  for (int i = 0; n > 0 && i < QUOTA_SLOTS; i++)
+    {
+      int *x = &b->granted[(b->part - i + QUOTA_SLOTS) % QUOTA_SLOTS];
+      int k = n < *x ? n : *x;
+      *x -= k;
+      b->sum -= k;
+      n -= k;
+    }
+}
+
+static double
+available (const bucket_t *b)
+{
+  double left = b->limit.most - b->sum;
+
+  return b->limit.most > 0 && left < b->level ? left : b->level;
+}
+
 /* A return that was long on its way must not give a window tokens of an
    earlier one.  */
 static void
@@ -238,6 +297,7 @@
   b->out[1] -= old;
   b->out[0] -= n - old;
   b->level += n;
+  ungrant (b, n);
   limit_level (b);
 }
 
@@ -249,9 +309,25 @@
   return n < whole ? n : whole;
 }
 
+/* ms until the oldest grants leave the window.  */
+static msec_t
+window_moves (const bucket_t *b, msec_t now)
+{
+  for (int i = QUOTA_SLOTS - 1; i > 0; i--)
+    if (b->granted[(b->part - i + QUOTA_SLOTS) % QUOTA_SLOTS])
+      return (b->part - i + QUOTA_SLOTS) * part_length (b) - now;
+  return b->limit.window;
+}
+
 static msec_t
-retry_after (const bucket_t *b)
+retry_after (const bucket_t *b, msec_t now)
 {
+  if (b->limit.most > 0 && b->limit.most - b->sum < 1 && b->level >= 1)
+    {
+      msec_t left = window_moves (b, now);
+      return left < QUOTA_RETRY_MIN ? QUOTA_RETRY_MIN : left;
+    }
+
   double ms
       = b->rate > 0 ? (1 - b->level) / b->rate * 1000 + 1 : QUOTA_RETRY_MAX;
 
@@ -296,17 +372,17 @@
   refill (b, emptied_at, now);
   set_limit (b, limit, quota_is_second (at, t->emptied_at), now);
   turn_slots (b, now);
+  turn_window (b, now);
   take_back (b, returned);
-  a.tokens = at_most (need > 0 ? need : 0, b->level);
-  b->level -= a.tokens;
+  a.tokens = at_most (need > 0 ? need : 0, available (b));
+  grant (b, a.tokens);
   if (a.tokens == need && more > 0)
     {
-      int extra = at_most (more, b->level * MORE_PART);
+      int extra = at_most (more, available (b) * MORE_PART);
       a.tokens += extra;
-      b->level -= extra;
+      grant (b, extra);
     }
-  b->out[0] += a.tokens;
-  a.retry = a.tokens >= need ? 0 : retry_after (b);
+  a.retry = a.tokens >= need ? 0 : retry_after (b, now);
   return a;
 }
 
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -37,6 +37,54 @@
 }
 END_TEST
 
+/* Guards against a window with a burst and a full rate beside it, and against
+   a tenant that gets less in the long run than a window allows.  */
+START_TEST (window_limits_what_the_bucket_grants)
+{
+  quota_table_t *t = quota_table_new ();
+  quota_limit_t l = { 1, 20, 20, 100, 5000, 0.4 };
+  int granted_at[1200], sum = 0, most = 0;
+
+  quota_table_ask (t, STR ("a"), &l, &first, 1, 0, 0, 0);
+  for (int i = 0; i < 1200; i++)
+    {
+      quota_answer_t a = quota_table_ask (t, STR ("a"), &l, &first, 100, 0, 0,
+                                          10000 + i * 50);
+      granted_at[i] = a.tokens;
+      ck_assert (a.tokens > 0 || a.retry >= QUOTA_RETRY_MIN);
+      sum += a.tokens;
+      int window = 0;
+      for (int k = i; k >= 0 && k > i - 100; k--)
+        window += granted_at[k];
+      most = window > most ? window : most;
+    }
+  ck_assert_int_eq (granted_at[0], 20);
+  ck_assert_int_eq (most, 100);
+  /* The oldest part counts whole: 5.25 s.  */
+  ck_assert_int_ge (sum, 60 * 100 * 100 / 525);
+  quota_table_free (t);
+}
+END_TEST
+
+/* Guards against returned tokens that stay counted in the window.  */
+START_TEST (returned_tokens_leave_the_window)
+{
+  quota_table_t *t = quota_table_new ();
+  quota_limit_t l = { 1, 1000, 100, 50, 5000, 0.4 };
+  str_t a = STR ("a");
+
+  quota_table_ask (t, a, &l, &first, 0, 0, 0, 0);
+  ck_assert_int_eq (quota_table_ask (t, a, &l, &first, 60, 0, 0, 1000).tokens,
+                    50);
+  ck_assert_int_eq (quota_table_ask (t, a, &l, &first, 60, 0, 30, 1300).tokens,
+                    30);
+  quota_answer_t none = quota_table_ask (t, a, &l, &first, 1, 0, 0, 1400);
+  ck_assert_int_eq (none.tokens, 0);
+  ck_assert (none.retry > 4000 && none.retry <= 5000);
+  quota_table_free (t);
+}
+END_TEST
+
 /* Guards against an accountant that wakes from a freeze with a full bucket,
    while another one has granted from its own.  */
 START_TEST (bucket_is_empty_after_a_freeze)
@@ -930,6 +978,8 @@
   TCase *u = tcase_create ("sequences");
 
   tcase_add_test (t, bucket_has_no_seam);
+  tcase_add_test (t, window_limits_what_the_bucket_grants);
+  tcase_add_test (t, returned_tokens_leave_the_window);
   tcase_add_test (t, bucket_is_empty_after_a_freeze);
   tcase_add_test (t, bucket_is_empty_after_a_hand_over);
   tcase_add_test (t, second_accountant_grants_less);
