--- a/test/test_gate.c
+++ b/test/test_gate.c
@@ -252,6 +252,69 @@
 }
 END_TEST
 
+/* ---- the list of instances ---- */
+
+static void
+list_instances (proxy_t *p, int n)
+{
+  free (p->endpoint);
+  p->endpoint = calloc ((size_t)n, sizeof *p->endpoint);
+  p->nendpoint = (size_t)n;
+  p->endpoints_version++;
+  for (int i = 0; i < n; i++)
+    snprintf (p->endpoint[i].address, sizeof p->endpoint[i].address,
+              "10.0.0.%d:7440", i);
+  accountants_update (p);
+}
+
+/* Guards against instances that each count the whole quota after control
+   started again and lists the instances one by one; and against a zone that
+   never follows the loss of most of them.  */
+START_TEST (list_of_few_instances_is_followed_late)
+{
+  stage_t *s = stage_new (true);
+  proxy_t *p = s->proxy;
+
+  list_instances (p, 6);
+  ck_assert_int_eq ((int)p->gate->nendpoint, 6);
+  list_instances (p, 2);
+  ck_assert_int_eq ((int)p->gate->nendpoint, 6);
+  p->now += 1900;
+  list_instances (p, 1);
+  ck_assert_int_eq ((int)p->gate->nendpoint, 6);
+  p->now += 200;
+  accountants_update (p);
+  ck_assert_int_eq ((int)p->gate->nendpoint, 1);
+  list_instances (p, 6);
+  list_instances (p, 2);
+  list_instances (p, 5);
+  ck_assert_int_eq ((int)p->gate->nendpoint, 5);
+  ck_assert (p->gate->shrunk_at < 0);
+  stage_free (s);
+}
+END_TEST
+
+/* Guards against a list that is sent again unchanged, after which nobody would
+   count as the first for a while.  */
+START_TEST (unchanged_list_changes_no_standing)
+{
+  stage_t *s = stage_new (true);
+  proxy_t *p = s->proxy;
+
+  list_instances (p, 3);
+  int64_t version = p->gate->version;
+  msec_t since = p->gate->since;
+  p->now += 500;
+  list_instances (p, 3);
+  ck_assert_int_eq (p->gate->version, version);
+  ck_assert_int_eq (p->gate->since, since);
+  list_instances (p, 4);
+  ck_assert_int_eq (p->gate->since, p->now);
+  ck_assert_int_eq ((int)p->gate->earlier[0].n, 3);
+  stage_free (s);
+}
+END_TEST
+
 /* ---- two instances ---- */
 
 /* Two instances without owners of connections: both run statements.  */
@@ -438,6 +501,8 @@
   tcase_add_test (t, retry_is_not_counted_again);
   tcase_add_test (t, operation_that_was_never_sent_is_given_back);
   tcase_add_test (t, metrics_of_tenants_are_bounded);
+  tcase_add_test (t, list_of_few_instances_is_followed_late);
+  tcase_add_test (t, unchanged_list_changes_no_standing);
   suite_add_tcase (s, t);
   tcase_set_timeout (u, 60);
   tcase_add_test (u, instances_share_a_quota);
