--- a/test/test_proxy.c
+++ b/test/test_proxy.c
@@ -91,6 +91,48 @@
 }
 END_TEST
 
+/* Guards against reads that go on to a replica which fails them: any answer
+   counted as a sign of life, and a failure is a quick answer.  */
+START_TEST (reads_leave_a_replica_that_fails)
+{
+  stage_t *s = stage_new (true);
+  stage_client_t *c = stage_session (s, "near");
+  service_t *v = service_get (s->proxy, STR ("svc"));
+  db_t *bad = v->dbs;
+  char text[64];
+
+  ASK (c, "QUERY r READ 7\r\n", "READY I");
+  while (strcmp (bad->id, s->db[1].id) != 0)
+    bad = bad->next;
+  strcpy (s->db[1].fail_at, "READ");
+  strcpy (s->db[1].fail_code, "FAILED");
+  for (int i = 0; i < 60 && s->db[1].fail_at[0]; i++)
+    {
+      snprintf (text, sizeof text, "QUERY r%02d READ 7\r\n", i);
+      ASK (c, text, "READY I");
+    }
+  ck_assert_int_eq (s->db[1].fail_at[0], '\0');
+  ck_assert_float_gt (bad->outlier.failing, 0);
+  for (int i = 0; i < 20; i++)
+    for (db_t *d = v->dbs; d; d = d->next)
+      db_result (d, d != bad, s->proxy->now);
+  int sent = stage_count (&s->db[1], "READ 7");
+  for (int i = 0; i < 20; i++)
+    {
+      snprintf (text, sizeof text, "QUERY s%02d READ 7\r\n", i);
+      ASK (c, text, "READY I");
+    }
+  ck_assert_int_eq (stage_count (&s->db[1], "READ 7"), sent);
+  /* It still runs them if no other can.  */
+  for (db_t *d = v->dbs; d; d = d->next)
+    if (d != bad)
+      d->avoid_until = s->proxy->now + 500;
+  ASK (c, "QUERY t READ 7\r\n", "READY I");
+  ck_assert_int_eq (stage_count (&s->db[1], "READ 7"), sent + 1);
+  stage_free (s);
+}
+END_TEST
+
 /* Guards against a replica's answer that lacks the session's own write.  */
 START_TEST (session_reads_own_write)
 {
@@ -844,6 +886,7 @@
   tcase_add_test (t, former_primary_gets_no_read);
   tcase_add_test (t, new_primary_is_found_without_control);
   tcase_add_test (t, replica_read_requires_position);
+  tcase_add_test (t, reads_leave_a_replica_that_fails);
   tcase_add_test (t, session_reads_own_write);
   tcase_add_test (t, disconnect_during_write_is_in_doubt);
   tcase_add_test (t, unanswered_write_is_in_doubt);
