proxy: after a loss of power tenants' connections stay within what is free

With tenants an owner uses its whole share, so after a loss of power of all machines the databases still count 42 connections of 56 for 3 s. For the first 0.7 to 0.9 s no instance knows its zone's owners, and each opened its own connections for every tenant.

--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -458,6 +458,11 @@
       str_t raw = { buf_str (stream_in (st)).p, used };
       bool op = m.kind == CLIENT_OP && s->started;
       bool open = true;
+      if (op && s->tenant && !s->from_peer && owners_awaited (p))
+        {
+          wake_at (p, p->now + OWNERS_INTERVAL);
+          return;
+        }
       caller_t known = op ? caller_check (s, &m.op) : CALLER_KNOWN;
       if (known == CALLER_CLOSED)
         return;
