--- a/test/test_tenants_pool.c
+++ b/test/test_tenants_pool.c
@@ -290,6 +290,44 @@
 }
 END_TEST
 
+/* Guards against a statement that runs on no tenant's connection, or on that
+   of another, after the owner of its tenant has failed.  */
+START_TEST (tenant_moves_when_its_owner_fails)
+{
+  stage_t *s = stage_pair ();
+
+  s->tenanted = true;
+  s->version++;
+  stage_run (s, 800, NULL, NULL);
+  s->proxy->started -= ENTRIES_HOLD;
+  s->second->started -= ENTRIES_HOLD;
+  service_t *v = service_get (s->proxy, STR ("svc"));
+  bool second = service_may_connect (s->proxy, v);
+  proxy_t *owner = second ? s->proxy : s->second;
+  proxy_t *other = second ? s->second : s->proxy;
+  s->port = second ? s->second_port : s->port;
+  stage_client_t *a = tenant_session (s, "lead", "a");
+  stage_client_t *b = tenant_session (s, "lead", "b");
+  ASK (a, "QUERY a1 WRITE 7 x\r\n", "COMPLETE");
+  ASK (b, "QUERY b1 WRITE 7 x\r\n", "COMPLETE");
+  ck_assert_ptr_null (service_get (other, STR ("svc"))->dbs->links);
+  for (session_t *x = owner->sessions, *next; x; x = next)
+    {
+      next = x->next;
+      if (x->from_peer)
+        session_end (x);
+    }
+  stage_run (s, 100, NULL, NULL);
+  ASK (a, "QUERY a2 WRITE 7 x\r\n", "COMPLETE");
+  ASK (b, "QUERY b2 WRITE 7 x\r\n", "COMPLETE");
+  check_names (s);
+  for (const db_t *d = service_get (other, STR ("svc"))->dbs; d; d = d->next)
+    for (const link_t *k = d->links; k; k = k->next)
+      ck_assert_ptr_nonnull (k->tenant);
+  stage_free (s);
+}
+END_TEST
+
 /* ---- the owner of a tenant ---- */
 
 enum
@@ -574,6 +612,7 @@
   tcase_add_test (t, openings_of_tenants_do_not_wait_for_each_other);
   tcase_add_test (t, full_database_sheds_idle_connections);
   tcase_add_test (t, idle_connections_stay_while_there_is_room);
+  tcase_add_test (t, tenant_moves_when_its_owner_fails);
   tcase_add_test (d, instances_agree_on_the_owner_of_a_tenant);
   tcase_add_test (d, share_is_small_after_a_loss_of_power);
   tcase_add_test (d, tenants_wait_for_their_owners_after_a_start);
