pimentopost: lint checks a configuration before it is sent

Operators learned of a configuration's errors from control's refusal, and of entries that no caller can reach not at all. The verb lint prints errors (by the parser and the size check that control uses at acceptance), entries that never match, limits that contradict each other and what differs from the version in force, by entry and field; keys are never printed.

--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,9 @@
 	@mkdir -p $(@D)
 	$(CC) $(CFLAGS_ALL) -o $@ $^ $(PLATFORM_LIBS)
 
+# The operator tool checks configurations with the adapter's parser.
+$(B)/bin/pimentopost: $(B)/platform/body.o
+
 define prog
 $(B)/bin/$(1): $(patsubst %.c,$(B)/%.o,$(wildcard cmd/$(1)/*.c)) $(LIBA)
 	@mkdir -p $$(@D)
--- a/cmd/pimentopost/main.c
+++ b/cmd/pimentopost/main.c
@@ -32,6 +32,8 @@
   .doc = "Operator tool of pimentopost.\v"
          "Commands:\n"
          "  check FILE        check a questionnaire or a settings file\n"
+         "  lint FILE         check a configuration of the users' platform "
+         "before it is sent\n"
          "  generate FILE     print the configuration, or write settings\n"
          "  submit FILE       submit a changed questionnaire\n"
          "  config            print the configuration in force\n"
@@ -108,5 +110,5 @@
   apr_terminate ();
   if (fflush (stdout) != 0)
     return err_exit (ERR_SYS);
-  return err_exit (e.code);
+  return e.code ? err_exit (e.code) : t.exit;
 }
--- a/cmd/pimentopost/options.c
+++ b/cmd/pimentopost/options.c
@@ -19,7 +19,13 @@
   OPT_TIMEOUT,
   OPT_JSON,
   OPT_LOCAL,
-  OPT_TABLE
+  OPT_TABLE,
+  OPT_IN_FORCE,
+  OPT_INSTANCES,
+  OPT_DATABASES,
+  OPT_SLOTS,
+  OPT_WORK,
+  OPT_LAG
 };
 
 static const struct argp_option common[] = {
@@ -75,6 +81,18 @@
   { 0 },
 };
 
+static const struct argp_option lint[] = {
+  { "in-force", OPT_IN_FORCE, "FILE", 0,
+    "Compare with the configuration in FILE instead of that of --server", 0 },
+  { "instances", OPT_INSTANCES, "N", 0, "Number of entry instances", 0 },
+  { "databases", OPT_DATABASES, "N", 0, "Databases of each service", 0 },
+  { "slots", OPT_SLOTS, "N", 0, "Statements that a database runs at a time",
+    0 },
+  { "work", OPT_WORK, "TIME", 0, "Time of a statement at a database", 0 },
+  { "lag", OPT_LAG, "TIME", 0, "Usual lag of the replicas", 0 },
+  { 0 },
+};
+
 static const struct argp_option watch[] = {
   { "interval", OPT_INTERVAL, "TIME", 0, "Time between queries (default 1s)",
     0 },
@@ -136,6 +154,21 @@
     case OPT_INTERVAL:
       t->interval = parse_duration (state, arg);
       return 0;
+    case OPT_INSTANCES:
+      t->facts.instances = parse_int (state, arg);
+      return 0;
+    case OPT_DATABASES:
+      t->facts.databases = parse_int (state, arg);
+      return 0;
+    case OPT_SLOTS:
+      t->facts.slots = parse_int (state, arg);
+      return 0;
+    case OPT_WORK:
+      t->facts.work = parse_duration (state, arg);
+      return 0;
+    case OPT_LAG:
+      t->facts.lag = parse_duration (state, arg);
+      return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
@@ -191,6 +224,9 @@
     case OPT_WAIT:
       t->wait = true;
       return 0;
+    case OPT_IN_FORCE:
+      t->in_force = arg;
+      return 0;
     default:
       return parse_number (t, key, arg, state);
     }
@@ -241,6 +277,14 @@
 static const struct argp check_argp
     = { NULL, parse_argument, "FILE",
         "Check a questionnaire or a settings file.", local_children };
+static const struct argp lint_argp = {
+  lint, parse_argument, "FILE",
+  "Check a configuration of the users' platform before it is sent, and "
+  "compare it with the one in force, from --in-force or, over HTTP, from "
+  "--server.  Exit status: 0 nothing found but changes, 1 warnings, 2 "
+  "errors.",
+  remote_children
+};
 static const struct argp generate_argp
     = { generate, parse_argument, "QUESTIONNAIRE",
         "Print the configuration as canonical YAML, or write the settings of "
@@ -275,6 +319,7 @@
 
 const command_t commands[] = {
   { "check", &check_argp, run_check },
+  { "lint", &lint_argp, run_lint },
   { "generate", &generate_argp, run_generate },
   { "submit", &submit_argp, run_submit },
   { "config", &config_argp, run_config },
--- a/cmd/pimentopost/tool.h
+++ b/cmd/pimentopost/tool.h
@@ -4,6 +4,7 @@
 #define TOOL_H
 
 #include "base.h"
+#include "lint.h"
 #include "rpc.h"
 
 #include <argp.h>
@@ -37,6 +38,9 @@
   int64_t limit;
   msec_t interval;
   int64_t count;
+  const char *in_force; /* file with the configuration in force */
+  lint_facts_t facts;
+  int exit; /* exit status of a command that succeeded */
 } tool_t;
 
 typedef struct
@@ -56,6 +60,7 @@
 bool run_audit (tool_t *t, err_t *e);
 bool run_explain (tool_t *t, err_t *e);
 bool run_config (tool_t *t, err_t *e);
+bool run_lint (tool_t *t, err_t *e);
 
 /* tool_servers: adds a comma-separated list of addresses.  */
 bool tool_servers (tool_t *t, str_t list, err_t *e);
@@ -64,6 +69,10 @@
    one.  Gives up at UNTIL: NULL with ERR_UNREACHABLE.  ERR_USAGE for a
    malformed or missing address.  */
 query_resp_t *call_query (tool_t *t, const query_t *q, msec_t until, err_t *e);
+/* fetch_document: GETs PATH from the servers in turn, over HTTP, until one
+   answers; the body lives in the tool's pool.  ERR_UNREACHABLE when none
+   does.  */
+bool fetch_document (tool_t *t, const char *path, str_t *body, err_t *e);
 /* call_submit: submits S to the leader, following the addresses that answers
    name, and resends it with the same id when an answer was lost.  Errors as
    call_query; MAYBE_SENT is then true when control may have received the
--- a/include/cell.h
+++ b/include/cell.h
@@ -81,6 +81,8 @@
    the answer is CELL_OK as well.  */
 void cell_submit (cell_t *c, int64_t version, str_t setup, str_t document,
                   int64_t ticket);
+/* cell_fits: whether SETUP and DOCUMENT fit into a record of the log.  */
+bool cell_fits (str_t setup, str_t document);
 /* cell_read: the configuration, confirmed by a quorum after this call.  */
 void cell_read (cell_t *c, int64_t ticket);
 /* cell_heartbeat: a heartbeat; CELL_UNAVAILABLE while no leader is known, so
--- a/lib/cell/state.c
+++ b/lib/cell/state.c
@@ -330,6 +330,12 @@
       check_one (c, &c->pending[i]);
 }
 
+bool
+cell_fits (str_t setup, str_t document)
+{
+  return setup.n + document.n + RECORD_OVERHEAD <= RAFT_MAX_RECORD;
+}
+
 void
 cell_submit (cell_t *c, int64_t version, str_t setup, str_t document,
              int64_t ticket)
@@ -350,7 +356,7 @@
       answer (c, ticket, CELL_OK);
       return;
     }
-  if (setup.n + document.n + RECORD_OVERHEAD > RAFT_MAX_RECORD)
+  if (!cell_fits (setup, document))
     {
       answer (c, ticket, CELL_TOO_LARGE);
       return;
