--- a/include/base.h
+++ b/include/base.h
@@ -79,7 +79,8 @@
 static inline str_t
 buf_str (const buf_t *b)
 {
-  return (str_t){ b->p ? b->p + b->off : NULL, b->n - b->off };
+  /* Of an empty buffer P is NULL, to which not even 0 may be added.  */
+  return (str_t){ b->off ? b->p + b->off : b->p, b->n - b->off };
 }
 
 /* ---- errors ---- */
