loop: of the messages that wait for memory one always goes on

A stream that waits for memory to receive a large message holds a buffer and what the kernel keeps for it. With a few hundred of them the budget counted as scarce by these alone: each was refused its reservation, none timed out and nobody was evicted, so that no message over 16 KiB was received any more. And a client that left while its stream waited was not noticed, since nothing was polled.

One stream may always reserve while the budget is not exceeded, and a paused stream notices that its client has closed. test_clients messages_that_wait_for_memory_go_on failed before.

--- a/lib/loop/stream.c
+++ b/lib/loop/stream.c
@@ -19,9 +19,9 @@
 static void
 poll_for (stream_t *s, int op)
 {
-  struct epoll_event ev
-      = { .events = (s->paused ? 0 : EPOLLIN) | (s->writing ? EPOLLOUT : 0),
-          .data.ptr = &s->watch };
+  struct epoll_event ev = { .events = (s->paused ? EPOLLRDHUP : EPOLLIN)
+                                      | (s->writing ? EPOLLOUT : 0),
+                            .data.ptr = &s->watch };
 
   epoll_ctl (s->loop->poll, op, s->watch.fd, &ev);
 }
@@ -68,9 +68,11 @@
 
   if (s->reserved)
     return !budget_exceeded (budget (s));
-  if (most
-      && (budget_scarce (budget (s))
-          || (s->loop->reserved && s->loop->reserved + n > most)))
+  /* One always goes on: those that wait hold memory too.  */
+  if (most && s->loop->reserved
+      && (budget_scarce (budget (s)) || s->loop->reserved + n > most))
+    return false;
+  if (budget_exceeded (budget (s)))
     return false;
   s->reserved = n;
   s->loop->reserved += n;
@@ -296,7 +298,7 @@
     write_output (s);
   if (s->closed)
     return;
-  if (s->paused && (events & (EPOLLERR | EPOLLHUP)))
+  if (s->paused && (events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)))
     {
       err_set (&e, ERR_CLOSED, "connection", "closed by the peer");
       fail (s, &e);
--- a/test/test_clients.c
+++ b/test/test_clients.c
@@ -124,6 +124,47 @@
 }
 END_TEST
 
+static bool
+is_complete (void *arg)
+{
+  const stage_client_t *c = arg;
+
+  return strstr (c->received, "COMPLETE ") != NULL;
+}
+
+/* Guards against messages that wait for memory which only the others that wait
+   hold: once all wait, nothing would ever be received again.  */
+START_TEST (messages_that_wait_for_memory_go_on)
+{
+  enum
+  {
+    CLIENTS = 36,
+    FIRST = 16500, /* bytes, more than are received without a reservation */
+    REST = 3500
+  };
+  stage_t *s = stage_new (true);
+  stage_client_t *c[CLIENTS];
+
+  budget_set_limit (loop_budget (s->loop), 4 << 20);
+  for (int i = 0; i < CLIENTS; i++)
+    c[i] = stage_session (s, "lead");
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      stage_send (c[i], "QUERY a SET name ");
+      send_bytes (c[i], FIRST);
+    }
+  stage_run (s, 200, is_closed, c[0]);
+  for (int i = 0; i < CLIENTS; i++)
+    {
+      send_bytes (c[i], REST);
+      stage_send (c[i], "\r\n");
+    }
+  for (int i = 0; i < CLIENTS; i++)
+    ck_assert_msg (stage_run (s, 2000, is_complete, c[i]), "client %d", i);
+  stage_free (s);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -135,6 +176,7 @@
   tcase_add_test (t, messages_sent_ahead_are_not_read);
   tcase_add_test (t, largest_sessions_are_closed);
   tcase_add_test (t, single_large_message_is_served);
+  tcase_add_test (t, messages_that_wait_for_memory_go_on);
   suite_add_tcase (s, t);
   SRunner *r = srunner_create (s);
   srunner_run_all (r, CK_ENV);
