--- a/lib/httpd/httpd.c
+++ b/lib/httpd/httpd.c
@@ -267,7 +267,8 @@
   httpd_t *h = r->server;
   size_t all = r->body.n + n;
 
-  if (r->too_large || r->too_busy)
+  /* Only requests of the ring have a use for a body.  */
+  if (r->too_large || r->too_busy || h->in == NULL)
     return;
   if (all > HTTPD_BODY_MAX)
     r->too_large = true;
--- a/lib/proxy/forward.c
+++ b/lib/proxy/forward.c
@@ -100,7 +100,7 @@
                              &peer_ops, s, &e);
   if (f->stream == NULL)
     {
-      if (x)
+      if (x && limits_may_dial (p))
         endpoint_avoid (p, x->address);
       free (f);
       return false;
@@ -278,7 +278,7 @@
   const route_entry_t *r = route_find (p, s->host);
   service_t *v = r ? service_get (p, r->service) : NULL;
 
-  if (v == NULL)
+  if (v == NULL || !service_has_owners (p, v))
     return true;
   service_may_connect (p, v); /* follows the endpoints */
   const endpoint_entry_t *x = endpoint_pick_owner (p, v, s->tenant);
--- a/lib/proxy/limits.c
+++ b/lib/proxy/limits.c
@@ -7,9 +7,11 @@
 
 enum
 {
-  VALUE_OVERHEAD = 128, /* bytes of a setting or prepared statement beside its
-                           name and value */
-  BUFFER_KEEP = 4 << 10 /* bytes of an empty buffer; a larger one is freed */
+  VALUE_OVERHEAD = 128,  /* bytes of a setting or prepared statement beside its
+                            name and value */
+  BUFFER_KEEP = 4 << 10, /* bytes of an empty buffer; a larger one is freed */
+  OWNER_SWEEP_TIME = 1000 /* ms until an owner has rolled back a transaction
+                             that was idle for too long */
 };
 
 /* ---- descriptors ---- */
@@ -102,7 +104,13 @@
 {
   bool active = s->req.active || (s->forward && s->forward->active);
   /* One that was idle for too long has been rolled back.  */
-  bool in_tx = s->tx == TX_OPEN && !s->tx_lost && (s->link || s->forward);
+  msec_t limit = s->proxy->setup ? s->proxy->setup->tx_idle : 0;
+  msec_t idle = s->proxy->now - s->last_active;
+  /* The owner has rolled it back by then, or it never began there.  */
+  bool expired
+      = !active && s->forward && limit > 0 && idle > limit + OWNER_SWEEP_TIME;
+  bool in_tx
+      = s->tx == TX_OPEN && !s->tx_lost && !expired && (s->link || s->forward);
 
   if (!s->started)
     return true;
@@ -159,13 +167,15 @@
   if (!s->req.active)
     trim (&s->req.text);
   if (s->forward && !s->forward->active)
-    trim (&s->forward->text);
+    {
+      trim (&s->forward->text);
+      trim (&s->forward->answer);
+    }
   size_t n = values_held (&s->values) + values_held (&s->prepared)
-             + s->req.text.cap;
+             + s->req.text.cap + s->key.n + s->host.n;
 
   if (s->forward)
-    n += s->forward->text.cap + s->forward->answer.cap
-         + buf_len (stream_in (s->forward->stream));
+    n += s->forward->text.cap + s->forward->answer.cap;
   budget_charge (loop_budget (s->proxy->loop), &s->held, n);
 }
 
--- a/lib/proxy/proxy.c
+++ b/lib/proxy/proxy.c
@@ -7,7 +7,9 @@
 enum
 {
   /* ms between sweeps while a statement is forwarded or a stop runs */
-  SWEEP_INTERVAL = 100
+  SWEEP_INTERVAL = 100,
+  ACCEPTS_MAX = 64 /* connections accepted in one turn; the rest in the next:
+                      statements go on while a crowd connects */
 };
 
 void
@@ -21,7 +23,7 @@
 accept_all (proxy_t *p, int listener, bool from_peer)
 {
   p->now = loop_now (p->loop);
-  for (;;)
+  for (int i = 0; i < ACCEPTS_MAX; i++)
     {
       int fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (fd < 0)
