--- a/lib/proxy/accountant.c
+++ b/lib/proxy/accountant.c
@@ -1,5 +1,7 @@
 #include "local.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -9,10 +11,13 @@
 
 enum
 {
-  ASK_MAX = 4096,      /* bytes of an ask */
-  TOKENS_MAX = 100000, /* in one ask */
-  SHRUNK_TIME = 2000   /* ms that a list of less than half as many instances
-                          as before isn't followed */
+  ASK_MAX = 4096,         /* bytes of an ask */
+  TOKENS_MAX = 100000,    /* in one ask */
+  SHRUNK_TIME = 2000,     /* ms that a list of less than half as many instances
+                             as before isn't followed */
+  KEEPALIVE_IDLE = 10,    /* s without data until a holder is probed */
+  KEEPALIVE_INTERVAL = 5, /* s between probes */
+  KEEPALIVE_PROBES = 3    /* without an answer until the holder is lost */
 };
 
 typedef struct
@@ -225,6 +230,20 @@
 
 static const stream_ops_t holder_ops = { NULL, holder_input, holder_closed };
 
+/* An instance that lost power would otherwise keep a descriptor for good: the
+   accountant writes only when it is asked.  */
+static void
+keep_alive (int fd)
+{
+  int on = 1, idle = KEEPALIVE_IDLE, interval = KEEPALIVE_INTERVAL;
+  int probes = KEEPALIVE_PROBES;
+
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof interval);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+}
+
 static void
 on_holder (void *arg, uint32_t events)
 {
@@ -240,6 +259,7 @@
       if (h == NULL)
         abort ();
       h->proxy = p;
+      keep_alive (fd);
       h->stream = stream_accept (p->loop, fd, &holder_ops, h);
     }
 }
--- a/lib/proxy/endpoint.c
+++ b/lib/proxy/endpoint.c
@@ -118,7 +118,12 @@
 service_may_connect (proxy_t *p, service_t *v)
 {
   if (!service_has_owners (p, v))
-    return true;
+    {
+      /* The owners known are of an earlier list of endpoints.  */
+      v->nowner = 0;
+      v->owners_version = -1;
+      return true;
+    }
   if (v->owners_version != p->endpoints_version)
     update_owners (p, v);
   return v->is_owner;
--- a/lib/proxy/fleet.c
+++ b/lib/proxy/fleet.c
@@ -298,7 +298,8 @@
   setup_t *n = rpc_decode (pool, packed, &type, &e);
   if (n == NULL || type != MSG_SETUP
       || (p->setup && n->version <= p->setup->version)
-      || (p->setup == NULL && n->tenanted && !has_leader))
+      || ((p->setup == NULL || !p->setup->tenanted) && n->tenanted
+          && !has_leader))
     {
       apr_pool_destroy (pool);
       return;
--- a/lib/proxy/share.c
+++ b/lib/proxy/share.c
@@ -78,7 +78,7 @@
                                "statements sent to a database");
   x->wait_ms = tenant_counter ("pimentopost_tenant_wait_ms_total", label,
                                "ms that these waited before");
-  x->refused = tenant_counter ("pimentopost_tenant_refused_total", label,
+  x->refused = tenant_counter ("pimentopost_tenant_hopeless_total", label,
                                "statements refused since too many waited");
 }
 
