proxy: the name of an unknown database is neither logged nor sent back

Only the length of an unknown name is written now; a known name whose route was removed is still named.

test_tenant keys_are_not_revealed has that case and failed before.

--- a/lib/proxy/session.c
+++ b/lib/proxy/session.c
@@ -133,9 +133,14 @@
 static bool
 refuse_no_database (session_t *s, str_t host)
 {
-  log_event (EV_NO_DATABASE, "host=" STR_FMT " version=%lld", STR_ARG (host),
+  /* Of a name that isn't known only the length is written: a client that mixes
+     up the fields of its start-up message sends its key there.  */
+  str_t name = s->host.n ? s->host : STR ("-");
+
+  log_event (EV_NO_DATABASE, "host=" STR_FMT " bytes=%zu version=%lld",
+             STR_ARG (name), host.n,
              s->proxy->setup ? (long long)s->proxy->setup->version : 0LL);
-  s->proxy->conf.client->error (out (s), FAIL_NODB, host);
+  s->proxy->conf.client->error (out (s), FAIL_NODB, name);
   session_end (s);
   return false;
 }
--- a/test/test_tenant.c
+++ b/test/test_tenant.c
@@ -439,6 +439,9 @@
   assert_refused (s, "STARTUP lead " KEY_1 KEY_2 "\r\n");
   stage_client_t *c = stage_client (s);
   ASK (c, "STARTUP no-such-host " KEY_1 "\r\n", "ERROR NODB");
+  /* Fields in the wrong order: the key stands where the database does.  */
+  stage_client_t *d = stage_client (s);
+  ASK (d, "STARTUP " KEY_1 " lead\r\n", "ERROR NODB");
   ASK (b, "STARTUP\n" KEY_2 "\r\n", "ERROR MALFORMED");
   stage_set_keys (s, keys + 1, all_keys - 1);
   stage_run (s, 400, NULL, NULL);
@@ -450,6 +453,7 @@
       ck_assert_ptr_null (strstr (log, keys[i].key));
       ck_assert_int_eq (received (s, keys[i].key), 0);
       ck_assert_ptr_null (strstr (a->received, keys[i].key));
+      ck_assert_ptr_null (strstr (d->received, keys[i].key));
     }
   log_open ("test", 0);
   fclose (file);
