quota: a full table drops unused tenants, and says that it is full

At 16,384 tenants the table refused new ones without a search for unused buckets, which only growing made: names that have left the configuration would have kept others refused for good, and the refusal looked like one by quota.

test_quota full_table_makes_room_for_others failed without the search.

--- a/include/quota.h
+++ b/include/quota.h
@@ -26,7 +26,8 @@
                              a change of the list of instances too */
   QUOTA_LISTS = 3,        /* earlier lists of instances that are kept */
   QUOTA_RANKS = 2,        /* accountants that are asked one after the other */
-  QUOTA_BUCKETS_MAX = 16384 /* tenants of one accountant */
+  QUOTA_BUCKETS_MAX = 16384, /* tenants of one accountant */
+  QUOTA_IDLE = 600000 /* ms after which an unused bucket may be dropped */
 };
 
 /* ---- limits ---- */
@@ -80,6 +81,7 @@
 {
   int tokens;
   msec_t retry; /* ms until there is a further token; 0: there were enough */
+  bool full;    /* there are QUOTA_BUCKETS_MAX other tenants, all in use */
 } quota_answer_t;
 
 /* quota_table_new, quota_table_free: a table of buckets by tenant.  */
--- a/lib/proxy/accountant.c
+++ b/lib/proxy/accountant.c
@@ -11,13 +11,14 @@
 
 enum
 {
-  ASK_MAX = 4096,         /* bytes of an ask */
-  TOKENS_MAX = 100000,    /* in one ask */
-  SHRUNK_TIME = 2000,     /* ms that a list of less than half as many instances
-                             as before isn't followed */
-  KEEPALIVE_IDLE = 10,    /* s without data until a holder is probed */
-  KEEPALIVE_INTERVAL = 5, /* s between probes */
-  KEEPALIVE_PROBES = 3    /* without an answer until the holder is lost */
+  ASK_MAX = 4096,      /* bytes of an ask */
+  TOKENS_MAX = 100000, /* in one ask */
+  SHRUNK_TIME = 2000,  /* ms that a list of less than half as many instances
+                          as before isn't followed */
+  FULL_LOG_INTERVAL = 1000, /* ms between log lines of a full table */
+  KEEPALIVE_IDLE = 10,      /* s without data until a holder is probed */
+  KEEPALIVE_INTERVAL = 5,   /* s between probes */
+  KEEPALIVE_PROBES = 3      /* without an answer until the holder is lost */
 };
 
 typedef struct
@@ -150,6 +151,16 @@
   return n < TOKENS_MAX ? (int)n : TOKENS_MAX;
 }
 
+static void
+log_full (proxy_t *p, str_t tenant)
+{
+  if (p->gate->full_at && p->now - p->gate->full_at < FULL_LOG_INTERVAL)
+    return;
+  p->gate->full_at = p->now;
+  log_event (EV_QUOTA_TABLE_FULL, "tenant=" STR_FMT " tenants=%zu",
+             STR_ARG (tenant), quota_table_size (p->gate->table));
+}
+
 quota_answer_t
 accountant_ask (proxy_t *p, const quota_ask_t *m)
 {
@@ -168,8 +179,12 @@
     }
   quota_standing_t at = standing (p, m->tenant);
   quota_table_turn (p->gate->table, p->now);
-  return quota_table_ask (p->gate->table, m->tenant, &l, &at, tokens (m->need),
-                          tokens (m->more), tokens (m->returned), p->now);
+  quota_answer_t a
+      = quota_table_ask (p->gate->table, m->tenant, &l, &at, tokens (m->need),
+                         tokens (m->more), tokens (m->returned), p->now);
+  if (a.full)
+    log_full (p, m->tenant);
+  return a;
 }
 
 /* ---- connections of holders ---- */
--- a/lib/proxy/local.h
+++ b/lib/proxy/local.h
@@ -412,6 +412,7 @@
   int64_t followed; /* endpoints_version that they are from */
   accountants_t earlier[QUOTA_LISTS]; /* the latest first */
   msec_t shrunk_at; /* control lists much fewer since then; -1: no */
+  msec_t full_at;   /* last log line of a full table; 0: none */
   apr_pool_t *scratch;
   quota_peer_t *peers;
   int64_t last_id;
--- a/lib/quota/table.c
+++ b/lib/quota/table.c
@@ -8,7 +8,7 @@
 enum
 {
   TABLE_MIN = 64,
-  IDLE_TIME = 600000, /* ms after which an unused bucket may be dropped */
+  PURGE_INTERVAL = 1000, /* ms between searches of a full table */
   /* While another accountant may count for the tenant, the bucket fills for
      SECOND_TIME ms of each SECOND_PERIOD: the first one is lost for longer
      only if control can't replace it.  */
@@ -49,6 +49,7 @@
   size_t names; /* bytes */
   msec_t turned_at;
   msec_t emptied_at; /* woke from a freeze, with empty buckets; -1: never */
+  msec_t purged_at; /* last search for unused buckets at the bound; -1: none */
 };
 
 static bucket_t *
@@ -70,7 +71,7 @@
     abort ();
   t->cap = TABLE_MIN;
   t->at = places_new (t->cap);
-  t->turned_at = t->emptied_at = -1;
+  t->turned_at = t->emptied_at = t->purged_at = -1;
   return t;
 }
 
@@ -104,20 +105,20 @@
   return &t->at[i];
 }
 
-/* Doubles the table, without the buckets that are unused for long.  */
+/* Moves the buckets to TO places, without those that are unused for long.  */
 static void
-grow (quota_table_t *t, msec_t now)
+rebuild (quota_table_t *t, size_t to, msec_t now)
 {
   bucket_t *old = t->at;
   size_t cap = t->cap;
 
-  t->cap = cap * 2;
+  t->cap = to;
   t->at = places_new (t->cap);
   t->n = t->names = 0;
   for (size_t i = 0; i < cap; i++)
     if (old[i].name.n == 0)
       continue;
-    else if (now - old[i].at > IDLE_TIME)
+    else if (now - old[i].at > QUOTA_IDLE)
       free (old[i].name.p);
     else
       {
@@ -128,6 +129,20 @@
   free (old);
 }
 
+/* Whether there is room for a new bucket; drops unused ones to make some.  */
+static bool
+has_room (quota_table_t *t, msec_t now)
+{
+  if (t->n < QUOTA_BUCKETS_MAX)
+    return true;
+  if (t->purged_at < 0 || now - t->purged_at >= PURGE_INTERVAL)
+    {
+      t->purged_at = now;
+      rebuild (t, t->cap, now);
+    }
+  return t->n < QUOTA_BUCKETS_MAX;
+}
+
 /* The bucket of NAME, which may be new; NULL when there are too many.  */
 static bucket_t *
 get (quota_table_t *t, str_t name, msec_t now)
@@ -137,13 +152,11 @@
 
   if (b->name.n)
     return b;
-  if (t->n >= QUOTA_BUCKETS_MAX)
+  if (!has_room (t, now))
     return NULL;
   if (t->n >= t->cap / 2)
-    {
-      grow (t, now);
-      b = find (t, name, hash);
-    }
+    rebuild (t, t->cap * 2, now);
+  b = find (t, name, hash);
   b->name.p = malloc (name.n);
   if (b->name.p == NULL)
     abort ();
@@ -360,7 +373,7 @@
                  msec_t now)
 {
   bucket_t *b = tenant.n ? get (t, tenant, now) : NULL;
-  quota_answer_t a = { 0, QUOTA_RETRY_MAX };
+  quota_answer_t a = { 0, QUOTA_RETRY_MAX, tenant.n > 0 && b == NULL };
   msec_t emptied_at = t->emptied_at;
 
   if (b == NULL)
--- a/test/test_quota.c
+++ b/test/test_quota.c
@@ -283,6 +283,37 @@
 }
 END_TEST
 
+/* Guards against a full table that stays full for good after its tenants have
+   left the configuration, and against a refusal that nobody can tell from one
+   by quota.  */
+START_TEST (full_table_makes_room_for_others)
+{
+  quota_table_t *t = quota_table_new ();
+  quota_limit_t l = { .version = 1, .rate = 1, .capacity = 3 };
+  char name[32];
+
+  for (int i = 0; i < QUOTA_BUCKETS_MAX; i++)
+    {
+      snprintf (name, sizeof name, "tenant-%d", i);
+      quota_table_ask (t, str_of (name), &l, &first, 1, 0, 0, 0);
+    }
+  quota_answer_t a
+      = quota_table_ask (t, STR ("another"), &l, &first, 1, 0, 0, 10);
+  ck_assert_int_eq (a.tokens, 0);
+  ck_assert (a.full);
+  ck_assert_int_eq ((int)quota_table_size (t), QUOTA_BUCKETS_MAX);
+  a = quota_table_ask (t, STR ("tenant-7"), &l, &first, 1, 0, 0, 5000);
+  ck_assert_int_eq (a.tokens, 1);
+  ck_assert (!a.full);
+  /* All but that one are unused for long.  */
+  a = quota_table_ask (t, STR ("another"), &l, &first, 1, 0, 0,
+                       QUOTA_IDLE + 1000);
+  ck_assert_int_eq (a.tokens, 1);
+  ck_assert_int_eq ((int)quota_table_size (t), 2);
+  quota_table_free (t);
+}
+END_TEST
+
 /* ---- sequences ---- */
 
 enum
@@ -990,6 +1021,7 @@
   tcase_add_test (t, holder_refuses_until_the_time_told);
   tcase_add_test (t, idle_tenant_has_its_burst);
   tcase_add_test (t, table_keeps_many_tenants);
+  tcase_add_test (t, full_table_makes_room_for_others);
   suite_add_tcase (s, t);
   tcase_set_timeout (u, 300);
   tcase_add_test (u, no_window_exceeds_the_limit);
