balance: zones beyond the bound get nothing

zones_share considers eight zones and left the shares of others as they were, so that the parts added up to more than one. Not in use by the proxy yet. test_balance further_zones_get_nothing failed before.

--- a/include/balance.h
+++ b/include/balance.h
@@ -53,7 +53,7 @@
 
 enum
 {
-  ZONES_MAX = 8,
+  ZONES_MAX = 8,    /* availability zones considered; others get nothing */
   ZONE_STALE = 2000 /* ms after which figures of a zone tell nothing */
 };
 
--- a/lib/balance/zones.c
+++ b/lib/balance/zones.c
@@ -115,6 +115,7 @@
   double out[ZONES_MAX] = { 0 };
   const zone_figures_t *h = &z[home];
   bool known = now - h->at < ZONE_STALE && h->demand > 0;
+  int all = n;
 
   if (n > ZONES_MAX)
     n = ZONES_MAX;
@@ -128,6 +129,9 @@
     distribute (lack (h, c) * fair_part (z, n, home, c, now), weight, limit, n,
                 out);
   share[home] = 1;
+  for (int i = n; i < all; i++)
+    if (i != home)
+      share[i] = 0;
   for (int i = 0; i < n; i++)
     {
       if (i == home)
--- a/test/test_balance.c
+++ b/test/test_balance.c
@@ -387,6 +387,36 @@
 }
 END_TEST
 
+/* Guards against figures of more zones than there is room for.  */
+START_TEST (further_zones_get_nothing)
+{
+  enum
+  {
+    MANY = ZONES_MAX + 3
+  };
+  zone_figures_t z[MANY];
+  double share[MANY];
+
+  for (int i = 0; i < MANY; i++)
+    {
+      z[i] = (zone_figures_t){ .demand = 4, .room = 20, .at = 1000 };
+      share[i] = 0.1;
+    }
+  z[0].room = 1;
+  for (int k = 0; k < 50; k++)
+    zones_share (z, MANY, 0, &zone_costs_default, 1000, share);
+  double sum = 0;
+  for (int i = 0; i < MANY; i++)
+    {
+      sum += share[i];
+      ck_assert (i < ZONES_MAX || share[i] == 0);
+    }
+  ck_assert_double_eq_tol (sum, 1, 1e-9);
+  ck_assert_double_gt (share[0], 0);
+  ck_assert_double_lt (share[0], 1);
+}
+END_TEST
+
 /* Guards against two full zones that together send the third more than it can
    take, and against guests before its own callers.  */
 START_TEST (two_full_zones_share_what_the_third_spares)
@@ -425,6 +455,7 @@
   tcase_add_test (c, shift_of_clients_is_followed_and_undone);
   tcase_add_test (c, slow_link_is_not_used_before_it_pays);
   tcase_add_test (c, cut_or_stale_figures_mean_none);
+  tcase_add_test (c, further_zones_get_nothing);
   tcase_add_test (c, two_full_zones_share_what_the_third_spares);
   suite_add_tcase (s, c);
   r = srunner_create (s);
