--- a/include/httpd.h
+++ b/include/httpd.h
@@ -19,8 +19,9 @@
 
 enum
 {
-  HTTPD_BODY_MAX = 4 << 20, /* bytes of a request; more gives status 413 */
-  HTTPD_CONNECTIONS_MAX = 2048,
+  HTTPD_BODY_MAX = 4 << 20, /* bytes of a request; more gives status 413.  A
+                               server without a ring keeps no body */
+  HTTPD_CONNECTIONS_MAX = 2048, /* at a time; further ones replace idle ones */
   HTTPD_CONNECTION_BYTES = 16 << 10 /* of a connection, for headers and
                                        buffers */
 };
--- a/test/lint.sh
+++ b/test/lint.sh
@@ -88,4 +88,18 @@
   grep -q 'change: tenants\[t2\].keys: 2 added, 1 withdrawn' "$dir/out" || fail "no change of keys: $(cat "$dir/out")"
   grep -q secret "$dir/out" && fail "a key in the output: $(cat "$dir/out")"
 done
+
+# Control instances that send the caller on without end: a typed error.
+perl -MIO::Socket::INET -e '
+  my $l = IO::Socket::INET->new (LocalAddr => "127.0.23.2", LocalPort => 28783, Listen => 8, ReuseAddr => 1) or die;
+  for (1 .. 3) {
+    my $c = $l->accept; sysread ($c, my $request, 4096);
+    print $c "HTTP/1.1 307 x\r\nLocation: http://127.0.23.2:28783/y\r\nContent-Length: 0\r\n\r\n"; close $c;
+  }' &
+server=$!
+sleep 0.5
+"$bin/pimentopost" lint --server 127.0.23.2:28783 --timeout 3s "$dir/next.json" >"$dir/out" 2>&1 && rc=0 || rc=$?
+wait "$server" || fail "not three calls"
+[ "$rc" = 5 ] || fail "exit status $rc after redirects without end: $(cat "$dir/out")"
+grep -q 'unreachable: status 307' "$dir/out" || fail "no typed error after redirects: $(cat "$dir/out")"
 echo ok
