--- a/review/standin-2/owner.c
+++ b/review/standin-2/owner.c
@@ -20,32 +20,40 @@
 static const char *
 config (char *out, size_t size, int version, bool withdrawn)
 {
-  static const char route[]
-      = "{\"name\":\"r-%s\",\"host\":\"%s\",\"path-prefix\":\"/\",\"route-kind\":"
-        "\"primary\",\"timeout-ms\":1000,\"target-latency-ms\":200,\"priority\":1,"
-        "\"service\":\"%s\",\"max-attempts\":2}";
-  size_t n = (size_t)snprintf (out, size, "{\"version\":%d,\"routes\":[", version);
+  static const char route[] = "{\"name\":\"r-%s\",\"host\":\"%s\",\"path-"
+                              "prefix\":\"/\",\"route-kind\":"
+                              "\"primary\",\"timeout-ms\":1000,\"target-"
+                              "latency-ms\":200,\"priority\":1,"
+                              "\"service\":\"%s\",\"max-attempts\":2}";
+  size_t n
+      = (size_t)snprintf (out, size, "{\"version\":%d,\"routes\":[", version);
 
   if (!withdrawn)
     {
-      n += (size_t)snprintf (out + n, size - n, route, "old", "hostold", service_name[0]);
+      n += (size_t)snprintf (out + n, size - n, route, "old", "hostold",
+                             service_name[0]);
       n += (size_t)snprintf (out + n, size - n, ",");
     }
-  n += (size_t)snprintf (out + n, size - n, route, "b", "hostb", service_name[1]);
+  n += (size_t)snprintf (out + n, size - n, route, "b", "hostb",
+                         service_name[1]);
   if (withdrawn)
     {
       n += (size_t)snprintf (out + n, size - n, ",");
-      n += (size_t)snprintf (out + n, size - n, route, "new", "hostnew", service_name[1]);
+      n += (size_t)snprintf (out + n, size - n, route, "new", "hostnew",
+                             service_name[1]);
     }
   n += (size_t)snprintf (out + n, size - n, "],\"services\":[");
   for (int i = 0; i < SERVICES; i++)
-    n += (size_t)snprintf (out + n, size - n,
-                           "%s{\"name\":\"%s\",\"health-path\":\"/health\",\"max-conns\":22,"
-                           "\"protocol\":\"h1\",\"tls\":false,\"sync-replicas\":0}",
-                           i ? "," : "", service_name[i]);
-  snprintf (out + n, size - n,
-            "],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,"
-            "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,\"tx-idle-ms\":3000}}");
+    n += (size_t)snprintf (
+        out + n, size - n,
+        "%s{\"name\":\"%s\",\"health-path\":\"/health\",\"max-conns\":22,"
+        "\"protocol\":\"h1\",\"tls\":false,\"sync-replicas\":0}",
+        i ? "," : "", service_name[i]);
+  snprintf (
+      out + n, size - n,
+      "],\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":262144,"
+      "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000,\"tx-idle-ms\":"
+      "3000}}");
   return out;
 }
 
@@ -63,7 +71,8 @@
   if (argc != 3)
     return 2;
   rig_start (argv[1], argv[2], per_zone);
-  if (put_config (config (body, sizeof body, 7, false), 20000) < 0 || !wait_ready (20000))
+  if (put_config (config (body, sizeof body, 7, false), 20000) < 0
+      || !wait_ready (20000))
     {
       note ("the system did not start");
       quit (2);
@@ -75,8 +84,8 @@
   for (at = 0; at < nentry; at++)
     {
       if (session_open (&s, entry[at].address, "hostold", answer, 2000)
-          && session_query (&s, "READ 1a4", id, answer, 2000) && run_find (id, &r)
-          && strcmp (r.caller, entry[at].name) != 0)
+          && session_query (&s, "READ 1a4", id, answer, 2000)
+          && run_find (id, &r) && strcmp (r.caller, entry[at].name) != 0)
         break;
       session_close (&s);
     }
@@ -85,7 +94,8 @@
       note ("no entry instance forwards");
       quit (2);
     }
-  note ("a client's session at %s for hostold: its statements run on connections of %s",
+  note ("a client's session at %s for hostold: its statements run on "
+        "connections of %s",
         entry[at].name, r.caller);
   char owner[40];
   snprintf (owner, sizeof owner, "%s", r.caller);
@@ -108,7 +118,8 @@
     {
       session_t t;
       if (session_open (&t, entry[at].address, "hostnew", answer, 1000)
-          && session_query (&t, "READ 2b5", id, answer, 1000) && run_find (id, &r))
+          && session_query (&t, "READ 2b5", id, answer, 1000)
+          && run_find (id, &r))
         seen = r.at;
       session_close (&t);
       if (seen < 0)
@@ -119,7 +130,8 @@
       note ("%s does not obey version 9", entry[at].name);
       quit (2);
     }
-  note ("a database has seen version 9 through %s at %lld ms", entry[at].name, (long long)seen);
+  note ("a database has seen version 9 through %s at %lld ms", entry[at].name,
+        (long long)seen);
 
   /* The session sends on; hostold is gone.  */
   int broken = 0;
@@ -133,7 +145,8 @@
         }
       bool answered = session_query (&s, "READ 3c6", id, answer, 2000);
       bool ran = run_find (id, &r);
-      note ("client at %s: READ on hostold sent %lld ms after the database saw version 9: %s%s",
+      note ("client at %s: READ on hostold sent %lld ms after the database "
+            "saw version 9: %s%s",
             entry[at].name, (long long)(sent - seen), answer,
             ran ? "; a database ran it" : "");
       broken += ran;
--- a/review/standin-2/rig.c
+++ b/review/standin-2/rig.c
@@ -258,7 +258,8 @@
   if (on)
     snprintf (cut_name, sizeof cut_name, "%s", name);
   cutting = on;
-  note ("%s: %s", name, on ? "cut off from all control instances" : "the cut has healed");
+  note ("%s: %s", name,
+        on ? "cut off from all control instances" : "the cut has healed");
 }
 
 /* ---- HTTP ---- */
@@ -304,7 +305,8 @@
 
 /* Follows a redirect twice.  */
 static int
-call (int at, const char *method, const char *path, const char *body, int limit)
+call (int at, const char *method, const char *path, const char *body,
+      int limit)
 {
   char address[32], to[32] = "";
   int status = 0;
@@ -328,7 +330,8 @@
 
   for (int i = 0; now_ms () < end; i++)
     {
-      int status = call (i % CONTROLS, "PUT", "/pimentopost/config", body, 3000);
+      int status
+          = call (i % CONTROLS, "PUT", "/pimentopost/config", body, 3000);
       if (status == 200)
         return now_ms ();
       note ("operator: status %d from %s", status, control[i % CONTROLS].name);
@@ -347,7 +350,9 @@
 
   for (int i = 0; i < nentry;)
     {
-      if (http (entry[i].ready, "GET", "/pimentopost/readiness", "", NULL, 1000) == 200)
+      if (http (entry[i].ready, "GET", "/pimentopost/readiness", "", NULL,
+                1000)
+          == 200)
         i++;
       else if (now_ms () > end)
         return false;
@@ -363,7 +368,8 @@
 {
   int fd = *(int *)arg, c;
   char b[4096];
-  static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+  static const char ok[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
 
   while ((c = accept4 (fd, NULL, NULL, SOCK_CLOEXEC)) >= 0)
     {
@@ -440,7 +446,8 @@
   char b[256];
 
   record_run (c, id, text);
-  snprintf (b, sizeof b, "%sCOMPLETE %s.%s\r\n", row ? "ROW value\r\n" : "", c->db->id, id);
+  snprintf (b, sizeof b, "%sCOMPLETE %s.%s\r\n", row ? "ROW value\r\n" : "",
+            c->db->id, id);
   return reply (c, b);
 }
 
@@ -453,7 +460,8 @@
   if (text == NULL)
     return false;
   *text++ = '\0';
-  if (strncmp (text, "AFTER ", 6) == 0 && (text = strchr (text + 6, ' ')) != NULL)
+  if (strncmp (text, "AFTER ", 6) == 0
+      && (text = strchr (text + 6, ' ')) != NULL)
     text++;
   if (text == NULL)
     return false;
@@ -464,7 +472,8 @@
         __atomic_add_fetch (&commits[c->db->service], 1, __ATOMIC_SEQ_CST);
       c->state = 'I';
       c->writes = false;
-      return commit ? complete (c, id, text, false) : reply (c, "COMPLETE -\r\n");
+      return commit ? complete (c, id, text, false)
+                    : reply (c, "COMPLETE -\r\n");
     }
   if (c->state == 'E')
     return refuse (c, "MALFORMED");
@@ -496,7 +505,8 @@
     {
       char b[128];
       snprintf (b, sizeof b, "ROW %s 1 1.%lld 0 0 0 1\r\nCOMPLETE -\r\n",
-                primary ? "primary" : "replica", (long long)commits[c->db->service]);
+                primary ? "primary" : "replica",
+                (long long)commits[c->db->service]);
       return reply (c, b);
     }
   return reply (c, "COMPLETE -\r\n"); /* SET, PREPARE, DEALLOCATE, RESET */
@@ -641,7 +651,8 @@
           snprintf (line, TEXT_MAX, "(no answer in %d ms)", limit);
           return false;
         }
-      ssize_t k = recv (s->fd, s->in + s->n, sizeof s->in - 1 - (size_t)s->n, 0);
+      ssize_t k
+          = recv (s->fd, s->in + s->n, sizeof s->in - 1 - (size_t)s->n, 0);
       if (k <= 0)
         {
           snprintf (line, TEXT_MAX, "(connection ended)");
@@ -669,7 +680,8 @@
 }
 
 bool
-session_query (session_t *s, const char *text, char *id, char *answer, int limit)
+session_query (session_t *s, const char *text, char *id, char *answer,
+               int limit)
 {
   static int serial;
   char b[512], line[TEXT_MAX];
@@ -739,35 +751,42 @@
     quit (2);
   if (p->control)
     snprintf (dir, sizeof dir, "\"%s/%s.data\"", data_dir, p->name);
-  fprintf (f,
-           "{\"node-name\":\"%s\",\"role\":\"%s\",\"machine-class\":\"%s\","
-           "\"serves\":[\"%s\"],\"ip\":\"%s\",\"bind-ip\":\"%s\",\"zone\":\"%s\","
-           "\"region\":\"klang-valley\",\"zones\":{\"shah-alam\":\"klang-valley\","
-           "\"petaling-jaya\":\"klang-valley\",\"klang\":\"klang-valley\"},",
-           p->name, p->control ? "control" : "entry", p->control ? "core" : "front",
-           p->control ? "control" : "front", ip, bound, p->zone);
+  fprintf (
+      f,
+      "{\"node-name\":\"%s\",\"role\":\"%s\",\"machine-class\":\"%s\","
+      "\"serves\":[\"%s\"],\"ip\":\"%s\",\"bind-ip\":\"%s\",\"zone\":\"%s\","
+      "\"region\":\"klang-valley\",\"zones\":{\"shah-alam\":\"klang-valley\","
+      "\"petaling-jaya\":\"klang-valley\",\"klang\":\"klang-valley\"},",
+      p->name, p->control ? "control" : "entry", p->control ? "core" : "front",
+      p->control ? "control" : "front", ip, bound, p->zone);
   if (p->control)
     fprintf (f, "\"listen\":{\"control\":\"%s\"},", p->address);
   else
-    fprintf (f, "\"listen\":{\"front\":\"%s\",\"ready\":\"%s\"},", p->address, p->ready);
+    fprintf (f, "\"listen\":{\"front\":\"%s\",\"ready\":\"%s\"},", p->address,
+             p->ready);
   fprintf (f, "\"internal-ports\":[%d,%d],\"seeds\":[", port, port + 15);
   for (int i = 0; i < CONTROLS; i++)
     fprintf (f, "%s\"127.%d.1.%d:%d\"", i ? "," : "", net, i + 1, port + 20);
-  fprintf (f,
-           "],\"bootstrap\":true,\"in-fault-budget\":%s,\"limits\":{\"cpu-share\":0.3,"
-           "\"cores\":1,\"memory-mb\":%d,\"max-fds\":4096,\"link-mbps\":1000.0,"
-           "\"disk-mb\":%d},\"data-dir\":%s,\"discovery\":\"registry\",\"entry\":\"vip\","
-           "\"heartbeat-ms\":1200,\"contracts\":[\"base\",\"drain\",\"config\",\"cost\","
-           "\"recover\",\"sql\"],\"fault-tolerance\":{\"machines\":1,\"zones\":1,"
-           "\"regions\":0},\"bounds\":{\"seed-lag-s\":3,\"addr-reuse-s\":2,"
-           "\"contact-ms\":4000,\"ack-ms\":5000,\"catch-up-s\":4,\"drain-ms\":7000,"
-           "\"grace-s\":6,\"loss-slack-ms\":200,\"config-apply-ms\":3000,"
-           "\"rollback-slack-ms\":250,\"drift-max-ms\":12000,\"recovery-s\":12,"
-           "\"fencing-enforced\":true,\"thaw-slack-ms\":300},\"config_mode\":\"highest\","
-           "\"cloud-api\":{\"addr\":\"127.%d.4.1:%d\",\"rate-per-s\":50.0,"
-           "\"duties\":[\"promotion\"],\"duty-per-s\":50.0}}\n",
-           p->control ? "true" : "false", p->control ? 256 : 260,
-           p->control ? 128 : 0, dir, net, port);
+  fprintf (
+      f,
+      "],\"bootstrap\":true,\"in-fault-budget\":%s,\"limits\":{\"cpu-share\":"
+      "0.3,"
+      "\"cores\":1,\"memory-mb\":%d,\"max-fds\":4096,\"link-mbps\":1000.0,"
+      "\"disk-mb\":%d},\"data-dir\":%s,\"discovery\":\"registry\",\"entry\":"
+      "\"vip\","
+      "\"heartbeat-ms\":1200,\"contracts\":[\"base\",\"drain\",\"config\","
+      "\"cost\","
+      "\"recover\",\"sql\"],\"fault-tolerance\":{\"machines\":1,\"zones\":1,"
+      "\"regions\":0},\"bounds\":{\"seed-lag-s\":3,\"addr-reuse-s\":2,"
+      "\"contact-ms\":4000,\"ack-ms\":5000,\"catch-up-s\":4,\"drain-ms\":7000,"
+      "\"grace-s\":6,\"loss-slack-ms\":200,\"config-apply-ms\":3000,"
+      "\"rollback-slack-ms\":250,\"drift-max-ms\":12000,\"recovery-s\":12,"
+      "\"fencing-enforced\":true,\"thaw-slack-ms\":300},\"config_mode\":"
+      "\"highest\","
+      "\"cloud-api\":{\"addr\":\"127.%d.4.1:%d\",\"rate-per-s\":50.0,"
+      "\"duties\":[\"promotion\"],\"duty-per-s\":50.0}}\n",
+      p->control ? "true" : "false", p->control ? 256 : 260,
+      p->control ? 128 : 0, dir, net, port);
   fclose (f);
 }
 
@@ -797,8 +816,10 @@
   for (int i = 0; i < CONTROLS; i++)
     {
       relay_t *r = &relay[i];
-      snprintf (r->listen, sizeof r->listen, "127.%d.1.%d:%d", net, i + 1, port);
-      snprintf (r->target, sizeof r->target, "127.%d.2.%d:%d", net, i + 1, port);
+      snprintf (r->listen, sizeof r->listen, "127.%d.1.%d:%d", net, i + 1,
+                port);
+      snprintf (r->target, sizeof r->target, "127.%d.2.%d:%d", net, i + 1,
+                port);
       r->fd = listen_on (r->listen);
       thread (relay_accept, r);
     }
@@ -817,8 +838,10 @@
         d->service = s;
         d->at = i;
         d->born = (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
-        snprintf (d->id, sizeof d->id, "i-%d%d%08x", s, i, (unsigned)getpid ());
-        snprintf (d->address, sizeof d->address, "127.%d.5.%d:%d", net, 1 + s * DBS + i, port);
+        snprintf (d->id, sizeof d->id, "i-%d%d%08x", s, i,
+                  (unsigned)getpid ());
+        snprintf (d->address, sizeof d->address, "127.%d.5.%d:%d", net,
+                  1 + s * DBS + i, port);
         d->fd = listen_on (d->address);
         thread (db_accept, d);
         thread (db_heartbeats, d);
@@ -849,7 +872,8 @@
       snprintf (p->zone, sizeof p->zone, "%s", zone_name[i]);
       snprintf (p->name, sizeof p->name, "core-%s-1", zone_name[i]);
       snprintf (p->settings, sizeof p->settings, "%s/%s.json", dir, p->name);
-      snprintf (p->address, sizeof p->address, "127.%d.1.%d:%d", net, i + 1, port + 20);
+      snprintf (p->address, sizeof p->address, "127.%d.1.%d:%d", net, i + 1,
+                port + 20);
       snprintf (ip, sizeof ip, "127.%d.1.%d", net, i + 1);
       snprintf (bound, sizeof bound, "127.%d.2.%d", net, i + 1);
       write_settings (p, ip, bound);
